Keep a joining host out of ownership until it knows its peers

Cause: peers took a host for an owner as soon as it knocked; for the 0.2 s until it had their state it dropped what they sent. A bid that met this was then dropped as possibly running although every owner had answered.

Conclusion: a host is JOINING until it owns targets; packets wait in the socket's buffer meanwhile. A repeated request that every owner was asked about and none knows is placed again, unless a copy passed within the last second, which may still be on its way.

--- a/packages/godwitway-standins/src/godwitway_standins/_events.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_events.py
@@ -47,11 +47,17 @@
 
 
 async def pause_entry(world: World, event: Event) -> None:
-    """Freeze an entry for a while."""
+    """Freeze an entry for a while; the fabric notices both ends later."""
     entry = chosen_entry(world, event)
+    seconds = event.seconds or 10.0
+    lag = min(seconds, DEATH_LAG_S)
     entry.pause(True)
-    await world.clock.sleep(event.seconds or 10.0)
+    await world.clock.sleep(lag)
+    world.route(entry, False)
+    await world.clock.sleep(seconds - lag)
     entry.pause(False)
+    await world.clock.sleep(LIST_LAG_S)
+    world.route(entry, True)
 
 
 async def cut_zone(world: World, event: Event) -> None:
--- a/packages/godwitway-standins/src/godwitway_standins/_world.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_world.py
@@ -239,9 +239,8 @@
             if target.address in self.servers:
                 continue
             port = self.network.port(target.address, target.zone)
-            server = BackendServer(
-                port, self.zone_sprays[target.zone], self.clock, service.address, target.slots, closes
-            )
+            spray = self.zone_sprays[target.zone]
+            server = BackendServer(port, spray, self.clock, service.address, target.slots, closes)
             self.servers[target.address] = server
             self.spawn(server.run())
 
--- a/packages/godwitway/src/godwitway/process/_flows.py
+++ b/packages/godwitway/src/godwitway/process/_flows.py
@@ -17,7 +17,7 @@
     pressure_of,
     tcp_flags,
 )
-from godwitway.version import UDP, Kind, Service
+from godwitway.version import UDP, Kind, Service, Snapshot
 
 __all__ = ["Flows"]
 
@@ -41,7 +41,7 @@
         table: The flow records by flow key.
         owned: The owned targets by packed address.
         departing: Targets whose records are being handed over, by packed address.
-        passed_on: Flow key and target of first packets that were passed to another candidate.
+        passed_on: When a first packet was passed to another candidate, by flow key and target.
         refused: At-most-once flows that were told that they were not run.
         exceptions: Target by flow key, for flows whose target left the first candidates.
         loads: The loads that owners of one service's targets tell each other.
@@ -67,13 +67,21 @@
         self.table: dict[bytes, FlowRecord] = {}
         self.owned: dict[bytes, OwnedTarget] = {}
         self.departing: dict[bytes, OwnedTarget] = {}
-        self.passed_on: RecentFlows[bool] = RecentFlows(NOTE_PERIOD_S, NOTE_CAPACITY, now)
+        self.passed_on: RecentFlows[float] = RecentFlows(NOTE_PERIOD_S, NOTE_CAPACITY, now)
         self.refused: RecentFlows[bool] = RecentFlows(NOTE_PERIOD_S, REFUSED_CAPACITY, now)
         self.exceptions: RecentFlows[bytes] = RecentFlows(NOTE_PERIOD_S, NOTE_CAPACITY, now)
         self.loads = ServiceLoads()
         self.retry_budget: dict[str, float] = {}
         self.wheel = ExpiryWheel(now)
 
+    def remember_repeats(self, snapshot: Snapshot) -> None:
+        """Remember recent flows for at least as long as callers may repeat a packet."""
+        repeats = (
+            kind.repeat_s for service in snapshot.services.values() for kind in service.kinds
+        )
+        period = max(NOTE_PERIOD_S, *repeats, 0.0)
+        self.passed_on.period = self.refused.period = period
+
     def owned_target(self, target: bytes) -> OwnedTarget | None:
         """Return a target that this host owns or is handing over."""
         return self.owned.get(target) or self.departing.get(target)
--- a/packages/godwitway/src/godwitway/process/_host.py
+++ b/packages/godwitway/src/godwitway/process/_host.py
@@ -143,7 +143,6 @@
     def start(self) -> None:
         """Start all tasks."""
         jobs = [
-            self.door.read_door(),
             self.door.read_peer(),
             self.control.run(),
             self.join(),
@@ -185,8 +184,9 @@
         self.ownership.start(records_may_be_lost=known_before or not node.members)
         node.journal.event("joined", members=len(node.members), known_before=known_before)
         self.membership.announce()
-        probing = asyncio.ensure_future(self.membership.run())
-        self.tasks.append(probing)
+        # Until here the fabric's packets waited in the socket's buffer.
+        for job in (self.membership.run(), self.door.read_door()):
+            self.tasks.append(asyncio.ensure_future(job))
         await self.keep_knocking()
 
     async def keep_knocking(self) -> None:
--- a/packages/godwitway/src/godwitway/process/_member.py
+++ b/packages/godwitway/src/godwitway/process/_member.py
@@ -13,10 +13,11 @@
 class MemberState(IntEnum):
     """The states of a host; a higher one wins at the same incarnation."""
 
-    ALIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    DEAD = 3
+    JOINING = 0
+    ALIVE = 1
+    SUSPECT = 2
+    LEAVING = 3
+    DEAD = 4
 
 
 class Member(msgspec.Struct, array_like=True):
@@ -57,7 +58,7 @@
     @property
     def owns(self) -> bool:
         """Whether the host may own targets."""
-        return self.state <= MemberState.SUSPECT
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
     @property
     def answers(self) -> bool:
--- a/packages/godwitway/src/godwitway/process/_node.py
+++ b/packages/godwitway/src/godwitway/process/_node.py
@@ -37,6 +37,7 @@
         members: All known hosts but this one, by id.
         directory: The owners of all targets.
         admitting: False while the host does not know who owns what.
+        joined: Whether the host knows its peers and owns targets.
         leaving: Whether the host is stopping.
         indirect: Hosts that are alive but that this one's datagrams do not reach.
         host_states: The platform's lagging list: state and version by IP address.
@@ -59,6 +60,7 @@
     members: dict[bytes, Member] = field(default_factory=dict)
     directory: Directory = field(default_factory=Directory)
     admitting: bool = False
+    joined: bool = False
     leaving: bool = False
     indirect: set[bytes] = field(default_factory=set)
     host_states: dict[str, tuple[str, int]] = field(default_factory=dict)
@@ -77,11 +79,11 @@
         """Return the process's monotonic time in seconds."""
         return self.clock.now()
 
-    def drop(self, kind: ErrorKind, key: bytes | None = None) -> None:
+    def drop(self, kind: ErrorKind, key: bytes | None = None, **fields: object) -> None:
         """Count a dropped packet by its error kind, and log it when its flow is known."""
         self.metrics.count("packets_dropped", kind.value)
         if key is not None:
-            self.journal.event("drop", key, reason=kind.value)
+            self.journal.event("drop", key, reason=kind.value, **fields)
 
     def to_fabric(self, packet: bytes) -> None:
         """Send a packet on its way to the caller."""
@@ -92,6 +94,12 @@
         """Send a signed datagram to a peer."""
         self.peer.send(encode(redirect, body, self.keyring), to)
 
+    def state(self) -> MemberState:
+        """Return this host's state as it says it itself."""
+        if self.leaving:
+            return MemberState.LEAVING
+        return MemberState.ALIVE if self.joined else MemberState.JOINING
+
     def myself(self) -> Member:
         """Return this host as its peers are to know it."""
         return Member(
@@ -101,7 +109,7 @@
             control=self.courier.address,
             api=self.settings.api.address,
             incarnation=self.incarnation,
-            state=MemberState.LEAVING if self.leaving else MemberState.ALIVE,
+            state=self.state(),
             boot=self.boot,
             revision=self.snapshot.revision,
         )
--- a/packages/godwitway/src/godwitway/process/_ownership.py
+++ b/packages/godwitway/src/godwitway/process/_ownership.py
@@ -21,17 +21,15 @@
         node: The host.
         flows: The flows of the owned targets.
         router: Takes packets of waiting requests whose target moves away.
-        started: Whether this host knows its peers and owns targets.
         announcements: Flows whose target is no candidate any more: the target by flow key.
     """
 
-    __slots__ = ("announcements", "flows", "node", "router", "started")
+    __slots__ = ("announcements", "flows", "node", "router")
 
     def __init__(self, node: Node, flows: Flows, router: Router) -> None:
         self.node = node
         self.flows = flows
         self.router = router
-        self.started = False
         self.announcements: dict[bytes, bytes] = {}
 
     def start(self, records_may_be_lost: bool) -> None:
@@ -42,7 +40,7 @@
                 may have owned them.
         """
         node = self.node
-        self.started = True
+        node.joined = True
         for member in node.members.values():
             if member.owns:
                 node.directory.add_host(member)
@@ -57,12 +55,12 @@
 
     def member_joined(self, member: Member) -> None:
         """Take in a new host."""
-        if self.started:
+        if self.node.joined:
             self.follow(self.node.directory.add_host(member))
 
     def member_left(self, member: Member, answers: bool) -> None:
         """Take out a host that is leaving or dead."""
-        if not self.started:
+        if not self.node.joined:
             return
         self.follow(self.node.directory.remove_host(member.id))
         if not answers:
@@ -78,7 +76,7 @@
 
     def leave(self) -> None:
         """Give up all targets before a planned stop."""
-        if self.started:
+        if self.node.joined:
             self.follow(self.node.directory.remove_host(self.node.id))
 
     def follow(self, changes: Iterable[OwnerChange]) -> None:
@@ -146,7 +144,8 @@
             return
         self.node.snapshot = snapshot
         self.node.metrics.gauges["revision"] = snapshot.revision
-        if not self.started:
+        self.flows.remember_repeats(snapshot)
+        if not self.node.joined:
             return
         self.refresh_ledgers(snapshot)
         self.drop_foreign_records(snapshot)
--- a/packages/godwitway/src/godwitway/process/_router.py
+++ b/packages/godwitway/src/godwitway/process/_router.py
@@ -20,6 +20,7 @@
     CACHED,
     CANNOT_TAKE,
     FINAL,
+    JUST_SEEN,
     RECOVERING_SHIFT,
     REPEATED,
     SHED,
@@ -277,14 +278,17 @@
             return
         if owned.may_have_lost_first(kind, now):
             redirect.flags |= 1 << RECOVERING_SHIFT + redirect.hop
-        elif self.flows.passed_on.get(key + redirect.target):
+        passed_at = self.flows.passed_on.get(key + redirect.target)
+        if passed_at is not None:
             redirect.flags |= REPEATED
+            if now - passed_at < LATE_PACKET_S:
+                redirect.flags |= JUST_SEEN
         seen_before = redirect.flags & REPEATED or has_mask(redirect.flags, RECOVERING_SHIFT)
         if not seen_before:
             if self.flows.decide(owned, kind, final=False) == Verdict.TAKE:
                 self.flows.open(key, packet, owned, kind)
                 return
-            self.flows.passed_on.put(key + redirect.target, True, now)
+            self.flows.passed_on.put(key + redirect.target, now, now)
             self.node.metrics.count("first_packets_passed_on", kind.name)
         redirect.pressure[redirect.hop] = self.flows.pressure(owned, kind, now)
         redirect.hop += 1
@@ -353,7 +357,7 @@
     ) -> None:
         """Send a new flow to the candidate that is the least full."""
         recovering = has_mask(redirect.flags, RECOVERING_SHIFT)
-        if kind.at_most_once and not is_certainly_new(redirect):
+        if kind.at_most_once and not may_be_placed(redirect):
             self.conclude_repeated(packet, key, redirect, candidates, recovering)
             return
         pressures = redirect.pressure[: len(candidates)]
@@ -378,8 +382,8 @@
         """Send a request that may be running only to the one target that may run it."""
         skipped = has_mask(redirect.flags, SKIPPED_SHIFT)
         only_one = recovering.bit_count() == 1
-        if skipped or not only_one:
-            self.node.drop(ErrorKind.FATE_UNKNOWN, key)
+        if skipped or not only_one or redirect.flags & JUST_SEEN:
+            self.node.drop(ErrorKind.FATE_UNKNOWN, key, recovering=recovering, unreachable=skipped)
             return
         redirect.hop = first_bit(recovering)
         redirect.flags |= FINAL
@@ -431,7 +435,7 @@
             if member is not None:
                 self.node.send_datagram(redirect, packet, member.address)
                 return
-        if tcp_flags(packet) & RST and not self.flows.passed_on.get(key + redirect.target):
+        if tcp_flags(packet) & RST and self.flows.passed_on.get(key + redirect.target) is None:
             self.node.to_fabric(packet)
 
     def shown_reset(self, packet: bytes, key: bytes, record: FlowRecord, now: float) -> None:
@@ -469,7 +473,8 @@
         """Ask the candidates after the target of a record that was removed."""
         target = record.owned.ledger.target
         candidates = record.owned.ledger.service.candidates(key)
-        self.flows.passed_on.put(key + target.id, True, self.node.now())
+        now = self.node.now()
+        self.flows.passed_on.put(key + target.id, now, now)
         hop = next((hop for hop, other in enumerate(candidates) if other is target), -1)
         following = hop + 1 if hop >= 0 else len(candidates)
         redirect = Redirect(entry=self.node.id, hop=following, flags=SHED)
@@ -506,6 +511,13 @@
     return not first_unsure
 
 
+def may_be_placed(redirect: Redirect) -> bool:
+    """Whether an at-most-once request that no owner knows is on no target for certain."""
+    if is_certainly_new(redirect):
+        return True
+    return is_fully_asked(redirect) and not redirect.flags & JUST_SEEN
+
+
 def is_fully_asked(redirect: Redirect) -> bool:
     """Whether every candidate's owner was asked and has whole records."""
     unsure = has_mask(redirect.flags, RECOVERING_SHIFT) | has_mask(redirect.flags, SKIPPED_SHIFT)
--- a/packages/godwitway/src/godwitway/request/_redirect.py
+++ b/packages/godwitway/src/godwitway/request/_redirect.py
@@ -65,6 +65,7 @@
     SKIPPED_0 = 1 << 11
     SKIPPED_1 = 1 << 12
     SKIPPED_2 = 1 << 13
+    JUST_SEEN = 1 << 14
 
 
 CACHED = int(Flag.CACHED)
@@ -75,6 +76,7 @@
 ASKED_PREVIOUS = int(Flag.ASKED_PREVIOUS)
 SHED = int(Flag.SHED)
 UNCACHED = int(Flag.UNCACHED)
+JUST_SEEN = int(Flag.JUST_SEEN)
 RECOVERING_SHIFT = 8
 SKIPPED_SHIFT = 11
 HOP_MASK = (1 << CANDIDATES) - 1
