Send no reset for flows that a host behind a cut may hold

A cut-off caller's packet went round the chain and was answered with a reset although the flow's owner could not be asked.

Ruled out: showing a reset whenever the owner has no record; a caller that lives on sends again and learns of the reset then.

Conclusion: adopted records of a zone behind a cut stay out of the handover, a target that cannot be reached is not a recovering candidate, and a reset is built only when every candidate could be asked.

--- a/packages/godwitway/src/godwitway/connection/_owned.py
+++ b/packages/godwitway/src/godwitway/connection/_owned.py
@@ -37,6 +37,12 @@
     drain_began: float | None = None
     health: TargetHealth = field(default_factory=TargetHealth)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the target can be reached; one of a cut-off zone has to show it."""
+        endpoint = self.ledger.target.health
+        return not self.adopted_zone or endpoint is None or bool(self.health.endpoint_ok)
+
     def may_have_lost_first(self, kind: Kind, now: float) -> bool:
         """Whether a first packet may belong to a flow whose record is lost."""
         window = SYN_REPEAT_S if kind.protocol == TCP else kind.repeat_s
@@ -44,7 +50,7 @@
 
     def may_have_lost_later(self, kind: Kind, now: float) -> bool:
         """Whether a later packet may belong to a flow whose record is lost."""
-        return self.lost and now - self.since < kind.idle_s
+        return self.lost and self.is_reachable and now - self.since < kind.idle_s
 
     def surely_dead_zone(self, kind: Kind, now: float) -> bool:
         """Whether the target's own zone has no live host, rather than hosts behind a cut.
@@ -67,8 +73,7 @@
         target = self.ledger.target
         if target.draining or self.health.says_leaving(now) or self.health.observed_bad(now):
             return False
-        # A target that is taken over from a cut-off zone has to show that it can be reached.
-        return not self.adopted_zone or target.health is None or bool(self.health.endpoint_ok)
+        return self.is_reachable
 
     def takes_new(self, now: float) -> bool:
         """Whether the target is a good choice for a new flow."""
--- a/packages/godwitway/src/godwitway/process/_flows.py
+++ b/packages/godwitway/src/godwitway/process/_flows.py
@@ -144,10 +144,14 @@
             case _:
                 return record.kind.idle_s
 
-    def adopt(self, key: bytes, packet: bytes, owned: OwnedTarget, kind: Kind) -> None:
+    def adopt(
+        self, key: bytes, packet: bytes, owned: OwnedTarget, kind: Kind, unasked: int
+    ) -> None:
         """Take over a flow whose record was lost, until its target says otherwise."""
         now = self.node.now()
         record = FlowRecord(owned, kind, FlowState.TENTATIVE, now)
+        record.adopted = True
+        record.unasked = unasked
         record.packet = packet
         self.table[key] = record
         owned.ledger.take(record, now)
@@ -245,6 +249,18 @@
         del self.table[key]
         self.release(record, self.node.now())
 
+    def drop_adopted(self, owned: OwnedTarget, tentative_only: bool) -> None:
+        """Forget adopted flows of a target; its next owner adopts those that are its own."""
+        adopted = [
+            (key, record)
+            for key, record in self.table.items()
+            if record.owned is owned
+            and record.adopted
+            and (record.state == FlowState.TENTATIVE or not tentative_only)
+        ]
+        for key, record in adopted:
+            self.forget(key, record)
+
     def dispatch(self, owned: OwnedTarget) -> None:
         """Start waiting requests while slots are free."""
         now = self.node.now()
--- a/packages/godwitway/src/godwitway/process/_ownership.py
+++ b/packages/godwitway/src/godwitway/process/_ownership.py
@@ -126,6 +126,8 @@
             self.flows.table.pop(waiting.key, None)
             if waiting.record.packet is not None:
                 self.router.start(waiting.record.packet, waiting.key, owned.ledger.service)
+        # What was adopted for a zone behind a cut is better known to the zone's own hosts.
+        self.flows.drop_adopted(owned, tentative_only=not owned.adopted_zone)
         if target_id in self.node.snapshot.targets:
             self.flows.departing[target_id] = owned
         self.node.journal.event("disown", target=target_id.hex())
--- a/packages/godwitway/src/godwitway/process/_router.py
+++ b/packages/godwitway/src/godwitway/process/_router.py
@@ -20,6 +20,7 @@
     CACHED,
     CANNOT_TAKE,
     FINAL,
+    HOP_MASK,
     JUST_SEEN,
     RECOVERING_SHIFT,
     REPEATED,
@@ -37,6 +38,7 @@
 HINTS_PER_SECOND = 20
 REOPEN_AFTER_S = 1.0
 LATE_PACKET_S = 1.0
+SKIPPED_BITS = HOP_MASK << SKIPPED_SHIFT
 
 
 def is_first(packet: bytes) -> bool:
@@ -207,17 +209,19 @@
     ) -> None:
         """Handle a later packet of a TCP flow without a record."""
         if redirect.flags & ADOPT:
-            self.flows.adopt(key, packet, owned, kind)
+            self.flows.adopt(key, packet, owned, kind, redirect.flags & SKIPPED_BITS)
             return
         recovering = owned.may_have_lost_later(kind, self.node.now())
         if redirect.flags & CACHED:
             if recovering:
-                self.flows.adopt(key, packet, owned, kind)
+                self.flows.adopt(key, packet, owned, kind, redirect.flags & SKIPPED_BITS)
                 return
             self.restart(packet, key, redirect, owned.ledger.service)
             return
         if recovering:
             redirect.flags |= 1 << RECOVERING_SHIFT + redirect.hop
+        elif not owned.is_reachable:
+            redirect.flags |= 1 << SKIPPED_SHIFT + redirect.hop
         elsewhere = self.exception(key, redirect)
         if elsewhere is not None:
             self.follow_exception(packet, key, redirect, elsewhere)
@@ -340,7 +344,7 @@
             redirect.target = candidates[redirect.hop].id
             if self.send_to_owner(packet, key, redirect):
                 return
-        if redirect.flags & SHED:
+        if redirect.flags & SHED and not has_mask(redirect.flags, SKIPPED_SHIFT):
             # Every target that could have had the flow says that it does not.
             self.node.journal.event("reset_no_flow", key)
             self.node.to_fabric(build_reset(packet))
@@ -435,8 +439,9 @@
             if member is not None:
                 self.node.send_datagram(redirect, packet, member.address)
                 return
-        if tcp_flags(packet) & RST and self.flows.passed_on.get(key + redirect.target) is None:
-            self.node.to_fabric(packet)
+        # A reset of an unknown flow may answer a packet that only strayed to this target. If the
+        # flow did end, the caller's next packet brings the reset about again.
+        self.node.metrics.count("resets_of_unknown_flows")
 
     def shown_reset(self, packet: bytes, key: bytes, record: FlowRecord, now: float) -> None:
         """Handle a target's reset: shed, not mine, or the end of a flow."""
@@ -477,7 +482,7 @@
         self.flows.passed_on.put(key + target.id, now, now)
         hop = next((hop for hop, other in enumerate(candidates) if other is target), -1)
         following = hop + 1 if hop >= 0 else len(candidates)
-        redirect = Redirect(entry=self.node.id, hop=following, flags=SHED)
+        redirect = Redirect(entry=self.node.id, hop=following, flags=SHED | record.unasked)
         for tried in range(following):
             redirect.pressure[tried] = CANNOT_TAKE
         self.ask(packet, key, redirect, candidates)
