Count a slot until its flow ends, and add the recorded traces

Cause: with almaty's delays a target's SYN-ACK was shown to the owner after the caller's ACK had passed; the owner took it for the end of the flow and freed the slot at once, so targets got more than their slots. A caller that had given up while it waited left its slot counted for its kind's idle time, because a SYN-ACK alone made a flow established.

Ruled out: too few places to wait; the queue's shares (the two refused index requests waited behind slots that nobody used).

Conclusion: a flow is established by its caller's ACK, a handshake that stays half open ends after 5 s.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 PACKAGES := godwitway godwitwayd godwitctl godwitway-standins
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 TOOLS := "pytest>=8,<10" "hypothesis>=6.100,<7" "ruff>=0.5,<0.18"
+JOBS ?= 4
 REPLAYS ?= $(filter-out traces/demo.jsonl,$(wildcard traces/*.jsonl))
 
 .PHONY: demo test lint format bench replay traces golden clean
@@ -30,5 +31,20 @@
 	  (cd packages/$$package && ../../$(BIN)/ruff check -q --fix .; ../../$(BIN)/ruff format -q .); \
 	done
 
+# Plays every trace against godwitway and the baselines; one JSON line each.
+replay: .venv/installed
+	@ls $(REPLAYS) | xargs -P $(JOBS) -n 1 $(BIN)/godwitway-standin replay --scheme all
+
+traces: .venv/installed
+	rm -f traces/kingston-*.jsonl traces/almaty-*.jsonl
+	$(BIN)/godwitway-standin make-all traces --seed 1
+	$(BIN)/godwitway-standin make-all traces --seed 2 --only planned --only kill-one --only cut-zone --only lossy
+
+golden: .venv/installed
+	cd packages/godwitway-standins && GODWITWAY_WRITE_GOLDEN=1 ../../$(BIN)/python -m pytest tests/test_golden.py
+
+bench: .venv/installed
+	$(BIN)/python benchmarks/bench.py
+
 clean:
 	rm -rf .venv
--- a/packages/godwitway-standins/src/godwitway_standins/_outcome.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_outcome.py
@@ -8,7 +8,28 @@
 from godwitway_standins._server import BackendServer
 from godwitway_standins._trace import Outcomes
 
-__all__ = ["Outcome", "failures", "judge"]
+__all__ = ["FloodWindow", "Outcome", "failures", "judge", "kept_by_kind"]
+
+
+class FloodWindow(msgspec.Struct):
+    """What a flooded service answered while the flood lasted.
+
+    Attributes:
+        answered: The answered requests by kind.
+        slot_seconds: The slot time that the service's targets had.
+    """
+
+    answered: dict[str, int]
+    slot_seconds: float
+
+    def goodput(self, slot_held_s: dict[str, float]) -> float:
+        """Return the answered requests as a part of the capacity.
+
+        Args:
+            slot_held_s: How long a request of each kind holds a slot in quiet times.
+        """
+        used = sum(count * slot_held_s.get(kind, 0.0) for kind, count in self.answered.items())
+        return round(used / self.slot_seconds, 4)
 
 
 class Outcome(msgspec.Struct):
@@ -30,6 +51,9 @@
         answered: The answered requests by kind, floods left out.
         asked: The requests by kind, floods left out.
         flood_answered: The answered requests by kind, of floods.
+        slot_held_s: The mean time that an owner counted a slot for a request, by kind.
+        flood_window: What was answered while the flood lasted.
+        goodput: The answered requests of a flooded service as a part of its capacity.
         wait_p99_ms: The 99th percentile of the time to the first answer by kind.
         broken_list: The first few broken flows.
     """
@@ -50,6 +74,8 @@
     asked: dict[str, int] = {}
     flood_answered: dict[str, int] = {}
     wait_p99_ms: dict[str, float] = {}
+    slot_held_s: dict[str, float] = {}
+    flood_window: FloodWindow | None = None
     goodput: float = 1.0
     broken_list: list[str] = []
 
--- a/packages/godwitway-standins/src/godwitway_standins/_player.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_player.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from godwitway.addresses import Address, parse_address
+from godwitway.addresses import Address, parse_address, unpack_address
 from godwitway.process import Clock, DatagramPort
 from godwitway.request import ACK, FIN, RST, SYN, answer_key, flow_key
 from godwitway.version import TCP, UDP
@@ -308,13 +308,23 @@
         key = flow_key(packet)
         stream = self.streams.get(answer_key(key)) if key is not None else None
         if stream is None:
-            self.stray_answers += 1
+            self.stray_answer(packet)
         elif packet[9] == UDP:
             stream.data[:] = udp_payload(packet)
             stream.changed.set()
         elif packet[9] == TCP:
             self.segment(stream, packet)
 
+    def stray_answer(self, packet: bytes) -> None:
+        """Reset a connection that its caller has given up, as a kernel does."""
+        self.stray_answers += 1
+        if packet[9] != TCP or not tcp_fields(packet).flags & SYN:
+            return
+        service = unpack_address(packet[12:16] + packet[20:22])
+        caller = unpack_address(packet[16:20] + packet[22:24])
+        reset = build_tcp(caller, service, tcp_fields(packet).ack, 0, RST)
+        self.port.send(reset, self.fabric)
+
     def segment(self, stream: Stream, packet: bytes) -> None:
         """Handle one TCP segment that came back."""
         segment = tcp_fields(packet)
--- a/packages/godwitway-standins/src/godwitway_standins/_world.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_world.py
@@ -15,6 +15,7 @@
     EndpointReport,
     Host,
     Links,
+    Metrics,
     Settings,
 )
 from godwitway.version import Service, check_service
@@ -89,7 +90,10 @@
             self.door_port, self.peer_port, self.courier, world.store, FakeHealth(world, zone)
         )
         rng = random.Random(world.rng.getrandbits(64))
-        self.host = Host(self.settings(), links, self.clock, rng, sink=world.journal(self.name))
+        metrics = Metrics()
+        world.metrics.append(metrics)
+        sink = world.journal(self.name)
+        self.host = Host(self.settings(), links, self.clock, rng, metrics, sink)
 
     def settings(self) -> Settings:
         """Return the host's settings."""
@@ -159,6 +163,7 @@
         servers: The backend servers by address.
         player: The callers.
         documents: The services' documents as last written.
+        metrics: The metrics of all hosts, also of those that are gone.
         log: The journal lines of all hosts.
     """
 
@@ -185,6 +190,7 @@
         self.servers: dict[Address, BackendServer] = {}
         self.documents: dict[str, dict[str, Any]] = {}
         self.versions: dict[str, int] = {}
+        self.metrics: list[Metrics] = []
         self.log: list[dict[str, Any]] = []
         self.tasks: list[asyncio.Task[Any]] = []
         self.seed_count = len(deployment.entry_zones())
--- a/packages/godwitway/src/godwitway/process/_flows.py
+++ b/packages/godwitway/src/godwitway/process/_flows.py
@@ -28,6 +28,7 @@
 TENTATIVE_S = 3.0
 LINGER_S = 10.0
 OPENING_TIMEOUT_S = 15.0
+HANDSHAKE_TIMEOUT_S = 5.0
 SYN_REPEAT_GAP_S = 0.9
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
@@ -135,8 +136,9 @@
         """Return after how many seconds without a packet a record is looked at."""
         match record.state:
             case FlowState.OPENING:
-                udp = record.kind.protocol == UDP
-                return record.kind.idle_s if udp else OPENING_TIMEOUT_S
+                if record.kind.protocol == UDP:
+                    return record.kind.idle_s
+                return OPENING_TIMEOUT_S if record.packet is not None else HANDSHAKE_TIMEOUT_S
             case FlowState.TENTATIVE:
                 return TENTATIVE_S
             case FlowState.CLOSING:
@@ -213,20 +215,26 @@
             self.node.metrics.count("requests_cancelled", record.kind.name)
 
     def deliver_opening(self, record: FlowRecord, flags: int, now: float) -> None:
-        """Learn from a TCP packet whether the target has answered."""
+        """Learn from a TCP packet whether the handshake is complete."""
         if not flags & SYN:
             self.establish(record, now)
-        elif now - record.started > SYN_REPEAT_GAP_S:
+        elif record.packet is not None and now - record.started > SYN_REPEAT_GAP_S:
             record.owned.health.unanswered(now)
 
-    def establish(self, record: FlowRecord, now: float) -> None:
-        """Note that a flow's target has answered."""
-        record.state = FlowState.ESTABLISHED
+    def answered(self, record: FlowRecord, now: float) -> None:
+        """Note that a flow's target has answered its first packet."""
+        if record.packet is None:
+            return
         record.packet = None
         record.owned.health.answered(now)
         self.node.metrics.observe("target_answer", now - record.started)
         self.earn_retry(record.owned.ledger.service)
 
+    def establish(self, record: FlowRecord, now: float) -> None:
+        """Note that a flow's handshake is complete."""
+        self.answered(record, now)
+        record.state = FlowState.ESTABLISHED
+
     def finish(self, key: bytes, record: FlowRecord, now: float) -> None:
         """Note that a flow ends, and give its slot to the next request."""
         if record.state == FlowState.CLOSING:
@@ -330,6 +338,6 @@
             record.owned.health.unanswered(now)
             self.finish(key, record, now)
         else:
-            if record.state == FlowState.OPENING:
+            if record.state == FlowState.OPENING and record.packet is not None:
                 record.owned.health.unanswered(now)
             self.forget(key, record)
--- a/packages/godwitway/src/godwitway/process/_router.py
+++ b/packages/godwitway/src/godwitway/process/_router.py
@@ -95,7 +95,7 @@
 
     def is_unanswered(self, packet: bytes, record: FlowRecord) -> bool:
         """Whether a repeated SYN shows that the flow's target does not answer at all."""
-        if record.state != FlowState.OPENING or packet[9] != TCP or not is_first(packet):
+        if record.state != FlowState.OPENING or record.packet is None or not is_first(packet):
             return False
         now = self.node.now()
         if now - record.started < SYN_REPEAT_GAP_S:
@@ -421,8 +421,10 @@
                 self.flows.finish(key, record, now)
         elif flags & RST:
             self.shown_reset(packet, key, record, now)
-        elif record.state == FlowState.OPENING and flags & SYN:
-            self.flows.establish(record, now)
+        elif flags & SYN:
+            if record.state == FlowState.OPENING:
+                self.flows.answered(record, now)
+                self.flows.wheel.schedule(key, now + self.flows.patience(record))
         elif record.state in (FlowState.TENTATIVE, FlowState.OPENING):
             self.flows.establish(record, now)
             self.flows.finish(key, record, now)
