--- a/packages/godwitway-standins/src/godwitway_standins/_player.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_player.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from godwitway.addresses import Address, parse_address, unpack_address
-from godwitway.process import Clock, DatagramPort
+from godwitway.process import Clock, DatagramPort, wait_for_event
 from godwitway.request import ACK, FIN, RST, SYN, answer_key, flow_key
 from godwitway.version import TCP, UDP
 
@@ -162,9 +162,7 @@
     async def changed(self, stream: Stream, seconds: float) -> None:
         """Wait until something arrives for a flow, or a time has passed."""
         stream.changed.clear()
-        waiting = asyncio.ensure_future(stream.changed.wait())
-        await asyncio.wait([waiting], timeout=max(0.001, seconds))
-        waiting.cancel()
+        await wait_for_event(self.clock, stream.changed, max(0.001, seconds))
 
     # UDP
 
--- a/packages/godwitway-standins/src/godwitway_standins/_server.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_server.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from godwitway.addresses import Address, pack_address, unpack_address
-from godwitway.process import Clock, DatagramPort
+from godwitway.process import Clock, DatagramPort, wait_for_event
 from godwitway.request import ACK, FIN, RST, SYN, flow_key
 from godwitway.version import TCP
 
@@ -275,9 +275,8 @@
         deadline = self.clock.now() + RETRANSMIT_S
         while connection.acknowledged < end and self.clock.now() < deadline:
             connection.changed.clear()
-            waiting = asyncio.ensure_future(connection.changed.wait())
-            await asyncio.wait([waiting], timeout=max(0.001, deadline - self.clock.now()))
-            waiting.cancel()
+            left = max(0.001, deadline - self.clock.now())
+            await wait_for_event(self.clock, connection.changed, left)
         return connection.acknowledged > before
 
     async def send_fin(self, connection: ServerConnection) -> None:
--- a/packages/godwitway-standins/src/godwitway_standins/_store.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_store.py
@@ -90,7 +90,7 @@
         self.leases: dict[int, float] = {}
         self.lease_keys: dict[int, set[str]] = {}
         self.next_lease = 1
-        self.watchers: set[asyncio.Event] = set()
+        self.watchers: dict[asyncio.Event, None] = {}
         self.writes = RateLimit(WRITES_PER_S)
         self.reads = RateLimit(READS_PER_S)
         self.refused_calls: deque[str] = deque(maxlen=100)
@@ -209,7 +209,7 @@
         if revision <= self.compacted:
             raise CompactedError("watch: compacted")
         arrived = asyncio.Event()
-        self.watchers.add(arrived)
+        self.watchers[arrived] = None
         following = revision
         try:
             while True:
@@ -226,7 +226,7 @@
                 arrived.clear()
                 await arrived.wait()
         finally:
-            self.watchers.discard(arrived)
+            self.watchers.pop(arrived, None)
 
     def set_down(self, down: bool) -> None:
         """Begin or end an outage; an outage breaks all watches."""
--- a/packages/godwitway-standins/src/godwitway_standins/_virtual.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_virtual.py
@@ -67,6 +67,7 @@
         left = asyncio.all_tasks(loop)
         for task in left:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        if left:
+            loop.run_until_complete(asyncio.wait(left))
         loop.run_until_complete(loop.shutdown_asyncgens())
         loop.close()
--- a/packages/godwitway-standins/src/godwitway_standins/cli.py
+++ b/packages/godwitway-standins/src/godwitway_standins/cli.py
@@ -283,7 +283,9 @@
 class Standin:
     """Stand-ins for what surrounds godwitway, and the trace player."""
 
-    command: cappa.Subcommands[Platform | FabricCommand | Servers | Play | Make | MakeAll | Replay | Host]
+    command: cappa.Subcommands[
+        Platform | FabricCommand | Servers | Play | Make | MakeAll | Replay | Host
+    ]
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/godwitway-standins/tests/test_config.py
@@ -0,0 +1,242 @@
+"""Configuration: accepted means in force, for good."""
+
+import asyncio
+
+import msgspec
+from godwitway.errors import ErrorKind
+from godwitway.process import MARKER, SERVICES_PREFIX
+from godwitway.process._messages import Change, ConfigDelta
+from godwitway.version import check_service
+from worlds import counted, events, hosts, in_world, revisions
+
+IN_FORCE_S = 9.0
+
+
+def changed_service(world, name="live-auction", bound=0.2):
+    """Return a changed service with its document."""
+    raw = msgspec.json.decode(msgspec.json.encode(world.documents[name]))
+    raw["load_bound"] = bound
+    return check_service(raw).unwrap(), msgspec.json.encode(raw)
+
+
+def version_of(world, name="live-auction"):
+    """Return a service's version in the store."""
+    return world.store.data[SERVICES_PREFIX + name].mod_revision
+
+
+class TestWrites:
+    """Tests of writes whose answers are lost, and of concurrent ones."""
+
+    def test_a_lost_answer_is_looked_up(self):
+        """A write that took effect without an answer is reported as accepted, once."""
+
+        async def job(world):
+            writes = hosts(world)[0].host.writes
+            service, document = changed_service(world)
+            await writes.current_lease()
+            world.store.faults.lose_answers = 1
+            outcome = await writes.put(service, document, version_of(world))
+            assert outcome.unwrap().revision == world.store.data[MARKER].mod_revision
+            assert version_of(world) == outcome.unwrap().revision
+
+        in_world(job)
+
+    def test_a_lost_write_is_reported_and_cannot_come_later(self):
+        """A write that never arrived is reported as such, and its id is fenced off."""
+
+        async def job(world):
+            writes = hosts(world)[0].host.writes
+            service, document = changed_service(world)
+            await writes.current_lease()
+            before = version_of(world)
+            world.store.faults.lose_writes = 1
+            outcome = await writes.put(service, document, before, write_id="w1")
+            assert outcome.unwrap_err().kind == ErrorKind.STORE_UNAVAILABLE
+            again = await writes.put(service, document, before, write_id="w1")
+            assert again.is_err()
+            assert version_of(world) == before
+
+        in_world(job)
+
+    def test_without_the_store_the_fate_is_called_unknown(self):
+        """When the look-up fails too, the operator gets the id to ask by later."""
+
+        async def job(world):
+            writes = hosts(world)[0].host.writes
+            service, document = changed_service(world)
+            await writes.current_lease()
+            world.store.faults.lose_answers = 1000
+            outcome = await writes.put(service, document, version_of(world))
+            problem = outcome.unwrap_err()
+            assert problem.kind == ErrorKind.WRITE_UNKNOWN
+            world.store.faults.lose_answers = 0
+            assert (await writes.settle(problem.field)).unwrap().revision == version_of(world)
+
+        in_world(job)
+
+    def test_one_of_two_operators_wins(self):
+        """Of two changes of one version one is accepted, the other learns both versions."""
+
+        async def job(world):
+            first, second = (entry.host.writes for entry in hosts(world)[:2])
+            version = version_of(world)
+            one, two = changed_service(world, bound=0.2), changed_service(world, bound=0.3)
+            outcomes = await asyncio.gather(first.put(*one, version), second.put(*two, version))
+            lost = [outcome.unwrap_err() for outcome in outcomes if outcome.is_err()]
+            assert [problem.kind for problem in lost] == [ErrorKind.CONFLICT]
+            assert lost[0].versions == (version, version_of(world))
+
+        in_world(job)
+
+    def test_targets_and_addresses_belong_to_one_service(self):
+        """A service that claims another's target or address is refused with the field."""
+
+        async def job(world):
+            writes = hosts(world)[0].host.writes
+            first = await writes.put(*changed_service(world), version_of(world))
+            assert first.is_ok()
+            raw = msgspec.json.decode(msgspec.json.encode(world.documents["live-auction"]))
+            raw["name"], raw["address"] = "thief", "10.10.0.77"
+            thief = check_service(raw).unwrap()
+            outcome = await writes.put(thief, msgspec.json.encode(raw), 0)
+            assert outcome.unwrap_err().field == "targets[0].address"
+            assert SERVICES_PREFIX + "thief" not in world.store.data
+
+        in_world(job)
+
+    def test_concurrent_drains_respect_max_draining(self):
+        """Two drainers that each see budget left do not together take too many targets."""
+
+        async def job(world):
+            version = version_of(world)
+            outcomes = []
+            for number, entry in enumerate(hosts(world)[:2]):
+                raw = msgspec.json.decode(msgspec.json.encode(world.documents["live-auction"]))
+                raw["max_draining"] = 1
+                raw["targets"][number]["state"] = "draining"
+                service = check_service(raw).unwrap()
+                writes = entry.host.writes
+                outcomes.append(writes.put(service, msgspec.json.encode(raw), version))
+            accepted = [outcome.is_ok() for outcome in await asyncio.gather(*outcomes)]
+            assert sorted(accepted) == [False, True]
+
+        in_world(job)
+
+
+class TestDistribution:
+    """Tests of how a change reaches every host."""
+
+    def test_a_change_is_in_force_everywhere_in_time(self):
+        """An accepted change is in force at all hosts within 9 s."""
+
+        async def job(world):
+            revision = world.write(world.documents["live-auction"])
+            start = world.clock.now()
+            while revisions(world) != {revision}:
+                await world.clock.sleep(0.05)
+            assert world.clock.now() - start <= IN_FORCE_S
+
+        in_world(job)
+
+    def test_few_hosts_watch_the_store(self):
+        """At most two hosts of a zone watch, and the others learn from them."""
+
+        async def job(world):
+            watching = [entry for entry in hosts(world) if entry.host.config.watching]
+            zones = [entry.zone for entry in watching]
+            assert all(zones.count(zone) == 2 for zone in world.deployment.zones)
+            assert len(watching) < len(hosts(world))
+
+        in_world(job)
+
+    def test_a_gap_is_repaired_by_peers(self):
+        """A host that missed a delta gets it from a peer that has it in force."""
+
+        async def job(world):
+            entry = next(entry for entry in hosts(world) if not entry.host.config.watching)
+            entry.courier.pause(True)
+            revision = world.write(world.documents["live-auction"])
+            await world.clock.sleep(1.0)
+            entry.courier.queue = asyncio.Queue()
+            entry.courier.pause(False)
+            await world.clock.sleep(IN_FORCE_S - 1.0)
+            assert entry.host.node.snapshot.revision == revision
+
+        in_world(job)
+
+    def test_a_lower_revision_is_never_applied(self):
+        """A delta or a store that went back changes nothing."""
+
+        async def job(world):
+            host = hosts(world)[0].host
+            revision = host.node.snapshot.revision
+            old = ConfigDelta(b"", b"", 0, revision - 1, [Change("live-auction", None, 1)])
+            assert not host.config.put_in_force(old)
+            await host.config.take_full([], store_revision=1)
+            assert host.node.snapshot.revision == revision
+            assert "live-auction" in host.node.snapshot.services
+
+        in_world(job)
+
+    def test_an_outage_is_caught_up(self):
+        """After an outage with a compaction the change that came meanwhile is in force."""
+
+        async def job(world):
+            world.store.set_down(True)
+            await world.clock.sleep(30.0)
+            revision = world.write(world.documents["catalogue"])
+            world.store.compact()
+            world.store.set_down(False)
+            await world.clock.sleep(IN_FORCE_S)
+            assert revisions(world) == {revision}
+
+        in_world(job)
+
+    def test_an_invalid_document_leaves_the_last_valid_one(self):
+        """A document that somebody broke in the store does not take the service away."""
+
+        async def job(world):
+            world.store.put_now(SERVICES_PREFIX + "live-auction", b"{broken")
+            world.store.put_now(MARKER, b"x")
+            await world.clock.sleep(IN_FORCE_S)
+            assert all("live-auction" in e.host.node.snapshot.services for e in hosts(world))
+            assert events(world, "config_rejected")
+
+        in_world(job)
+
+
+class TestRecovery:
+    """Tests of hosts that start while the store is down."""
+
+    def test_a_fresh_host_learns_from_its_peers(self):
+        """A host that joins during an outage has the configuration in force."""
+
+        async def job(world):
+            world.store.set_down(True)
+            entry = world.add_entry("kingston-a")
+            await world.clock.sleep(3.0)
+            assert entry.host.node.snapshot.revision == max(revisions(world))
+            assert entry.host.node.admitting
+
+        in_world(job)
+
+    def test_all_hosts_at_once_without_the_store(self):
+        """With every host restarted and the store down nothing is served until it is back."""
+
+        async def job(world):
+            revision = max(revisions(world))
+            world.store.set_down(True)
+            for entry in hosts(world):
+                entry.kill()
+            world.entries.clear()
+            world.next_entry = 0
+            for zone in world.deployment.entry_zones():
+                world.add_entry(zone)
+            await world.clock.sleep(10.0)
+            assert revisions(world) == {0}
+            world.store.set_down(False)
+            await world.clock.sleep(IN_FORCE_S)
+            assert revisions(world) == {revision}
+            assert counted(world, "internal_errors") == 0
+
+        in_world(job)
--- /dev/null
+++ b/packages/godwitway-standins/tests/test_membership.py
@@ -0,0 +1,158 @@
+"""Membership and handover under failures."""
+
+from godwitway.process._member import MemberState
+from worlds import counted, events, hosts, in_world
+
+from godwitway_standins._deployments import DEPLOYMENTS
+from godwitway_standins._links import LinkTerms
+from godwitway_standins._make import make_trace
+from godwitway_standins._trace import Outcomes
+
+DETECTED_S = 5.0
+
+
+def states_of(world, id_):
+    """Return the state of a host as each other one sees it."""
+    return {
+        entry.host.node.members[id_].state for entry in hosts(world) if entry.host.node.id != id_
+    }
+
+
+class TestDetection:
+    """Tests of who is called dead."""
+
+    def test_a_death_is_noticed_by_all(self):
+        """All hosts call a killed one dead within some seconds."""
+
+        async def job(world):
+            entry = hosts(world)[3]
+            del world.entries[entry.name]
+            entry.kill()
+            await world.clock.sleep(DETECTED_S)
+            assert states_of(world, entry.host.node.id) == {MemberState.DEAD}
+
+        in_world(job)
+
+    def test_loss_and_short_pauses_kill_nobody(self):
+        """With 5 % loss and pauses of 100 ms nobody is called dead for a minute."""
+
+        async def job(world):
+            for turn in range(60):
+                entry = hosts(world)[turn % len(hosts(world))]
+                entry.pause(True)
+                await world.clock.sleep(0.1)
+                entry.pause(False)
+                await world.clock.sleep(0.9)
+            assert counted(world, "member_dead") == 0
+
+        in_world(job, terms=LinkTerms(loss=0.05))
+
+    def test_a_quick_restart_is_noticed(self):
+        """A host that restarts before anyone missed it is known to have lost its records."""
+
+        async def job(world):
+            entry = hosts(world)[0]
+            number, zone = entry.number, entry.zone
+            entry.kill()
+            world.next_entry, following = number, world.next_entry
+            world.add_entry(zone)
+            world.next_entry = following
+            await world.clock.sleep(DETECTED_S)
+            restarted = world.entries["entry-1"].host
+            assert any(line["restarted"] for line in events(world, "member_dead"))
+            assert restarted.node.incarnation > 0
+            assert all(owned.lost for owned in restarted.flows.owned.values())
+
+        in_world(job)
+
+    def test_one_way_cut_is_relayed_around(self):
+        """When A's datagrams do not reach B, B stays alive and A's packets go by way of others."""
+
+        async def job(world):
+            world.network.cuts.add(("kingston-a", "kingston-b"))
+            await world.clock.sleep(20.0)
+            in_a = [entry for entry in hosts(world) if entry.zone == "kingston-a"]
+            in_b = [entry.host.node.id for entry in hosts(world) if entry.zone == "kingston-b"]
+            dead = [
+                id_ for entry in in_a for id_ in in_b if not entry.host.node.members[id_].answers
+            ]
+            assert dead == []
+            assert any(set(in_b) & entry.host.node.indirect for entry in in_a)
+
+        in_world(job)
+
+    def test_a_paused_host_admits_nothing_until_it_has_asked(self):
+        """After a long pause a host asks its peers before it admits flows again."""
+
+        async def job(world):
+            entry = hosts(world)[0]
+            entry.pause(True)
+            await world.clock.sleep(10.0)
+            entry.pause(False)
+            await world.clock.sleep(DETECTED_S)
+            assert entry.host.node.metrics.counters["pauses_noticed", ""] == 1
+            assert entry.host.node.admitting
+            assert states_of(world, entry.host.node.id) == {MemberState.ALIVE}
+
+        in_world(job)
+
+
+class TestPartition:
+    """Tests of a cut and its healing."""
+
+    def test_both_sides_go_on_and_agree_after_healing(self):
+        """During a cut each side owns what it reaches; afterwards all agree on every owner."""
+
+        async def job(world):
+            zone = "kingston-c"
+            world.network.cut(zone, ["kingston-a", "kingston-b"])
+            await world.clock.sleep(10.0)
+            inside = next(entry for entry in hosts(world) if entry.zone == zone)
+            owners = {
+                inside.host.node.directory.owner_of(target)
+                for target in inside.host.node.directory.targets
+            }
+            assert owners == {e.host.node.id for e in hosts(world) if e.zone == zone}
+            world.network.heal()
+            await world.clock.sleep(15.0)
+            views = [
+                {id_: entry.host.node.directory.owner_of(id_) for id_ in directory.targets}
+                for entry in hosts(world)
+                for directory in [entry.host.node.directory]
+            ]
+            assert all(view == views[0] for view in views)
+            owned = [id_ for entry in hosts(world) for id_ in entry.host.flows.owned]
+            assert sorted(owned) == sorted(views[0])
+
+        in_world(job)
+
+
+class TestHandover:
+    """Tests of records on their way to a new owner."""
+
+    def test_a_receiver_that_dies_is_replaced(self):
+        """When the receiver of a handover dies, the records go to the next owner."""
+
+        async def job(world):
+            trace = make_trace("t", DEPLOYMENTS["kingston"], 5, 20.0, [], Outcomes(), held=300)
+            boards = [flow for flow in trace.flows if flow.kind == "board"]
+            world.spawn(world.player.play(boards))
+            await world.clock.sleep(6.0)
+            leaving = max(hosts(world)[:3], key=lambda entry: len(entry.host.flows.table))
+            flows = len(leaving.host.flows.table)
+            assert flows > 50
+            del world.entries[leaving.name]
+            world.route(leaving, False)
+            world.spawn(leaving.stop())
+            await world.clock.sleep(0.3)
+            receivers = [e for e in hosts(world) if e.zone == leaving.zone]
+            victim = max(receivers, key=lambda entry: entry.host.node.metrics.counters.total())
+            del world.entries[victim.name]
+            world.route(victim, False)
+            victim.kill()
+            await world.clock.sleep(30.0)
+            results = [result.verdict.value for result in world.player.results]
+            assert results.count("complete") == len(boards)
+            assert not leaving.host.flows.departing
+
+        in_world(job)
--- a/packages/godwitway/src/godwitway/process/__init__.py
+++ b/packages/godwitway/src/godwitway/process/__init__.py
@@ -1,7 +1,7 @@
 """What lives as long as the process: ports, peers, membership, configuration and the API."""
 
 from godwitway.process._api import build_app, serve_api
-from godwitway.process._clock import Clock, LoopClock
+from godwitway.process._clock import Clock, LoopClock, wait_for_event
 from godwitway.process._config import CONFIG_PREFIX, HOSTS_PREFIX, MARKER, SERVICES_PREFIX
 from godwitway.process._courier import Courier, NngCourier
 from godwitway.process._etcd import EtcdStore
@@ -61,4 +61,5 @@
     "check_settings",
     "read_settings",
     "serve_api",
+    "wait_for_event",
 ]
--- a/packages/godwitway/src/godwitway/process/_api.py
+++ b/packages/godwitway/src/godwitway/process/_api.py
@@ -101,7 +101,7 @@
     response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
     await response.prepare(request)
     listener = asyncio.Event()
-    host.config.listeners.add(listener)
+    host.config.listeners[listener] = None
     shown: dict[str, int] = {}
     try:
         while True:
@@ -112,7 +112,7 @@
     except ConnectionResetError:
         return response
     finally:
-        host.config.listeners.discard(listener)
+        host.config.listeners.pop(listener, None)
 
 
 def watch_lines(snapshot: Snapshot, shown: dict[str, int]) -> list[dict[str, Any]]:
--- a/packages/godwitway/src/godwitway/process/_clock.py
+++ b/packages/godwitway/src/godwitway/process/_clock.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, Protocol
 
-__all__ = ["Clock", "LoopClock", "wait_for"]
+__all__ = ["Clock", "LoopClock", "wait_for", "wait_for_event"]
 
 
 class Clock(Protocol):
@@ -32,6 +32,18 @@
 async def wait_for(clock: Clock, future: "asyncio.Future[Any]", seconds: float) -> bool:
     """Wait for a future no longer than a time, and return whether it is done."""
     sleeping = asyncio.ensure_future(clock.sleep(seconds))
-    await asyncio.wait([future, sleeping], return_when=asyncio.FIRST_COMPLETED)
-    sleeping.cancel()
+    try:
+        await asyncio.wait([future, sleeping], return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        sleeping.cancel()
     return future.done()
+
+
+async def wait_for_event(clock: Clock, event: asyncio.Event, seconds: float) -> bool:
+    """Wait for an event no longer than a time, and return whether it is set."""
+    waiting = asyncio.ensure_future(event.wait())
+    try:
+        await wait_for(clock, waiting, seconds)
+    finally:
+        waiting.cancel()
+    return event.is_set()
--- a/packages/godwitway/src/godwitway/process/_config.py
+++ b/packages/godwitway/src/godwitway/process/_config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from godwitway.process._clock import wait_for
+from godwitway.process._clock import wait_for_event
 from godwitway.process._control import Control
 from godwitway.process._member import Member
 from godwitway.process._messages import (
@@ -79,7 +79,7 @@
         self.joined_known = False
         self.replied: set[bytes] = set()
         self.rejected: set[str] = set()
-        self.listeners: set[asyncio.Event] = set()
+        self.listeners: dict[asyncio.Event, None] = {}
 
     # Putting versions in force
 
@@ -349,10 +349,7 @@
 
     async def wait_for_state(self, seconds: float) -> bool:
         """Wait until a peer has sent its state, and return whether one has."""
-        waiting = asyncio.ensure_future(self.state_received.wait())
-        await wait_for(self.node.clock, waiting, seconds)
-        waiting.cancel()
-        return self.state_received.is_set()
+        return await wait_for_event(self.node.clock, self.state_received, seconds)
 
 
 def raise_failure(task: "asyncio.Task[None]") -> None:
--- a/packages/godwitway/src/godwitway/process/_handover.py
+++ b/packages/godwitway/src/godwitway/process/_handover.py
@@ -4,7 +4,7 @@
 from itertools import islice
 
 from godwitway.connection import FlowRecord, OwnedTarget
-from godwitway.process._clock import wait_for
+from godwitway.process._clock import wait_for_event
 from godwitway.process._control import Control
 from godwitway.process._flows import Flows
 from godwitway.process._messages import (
@@ -139,7 +139,7 @@
         try:
             while self.still_receiver(message.target, receiver):
                 await self.control.send_paced(message, receiver)
-                if await self.wait_acknowledged(acknowledged):
+                if await wait_for_event(self.node.clock, acknowledged, ACK_TIMEOUT_S):
                     return True
                 self.node.metrics.count("handover_batches_repeated")
         finally:
@@ -154,13 +154,6 @@
             and target in self.flows.departing
         )
 
-    async def wait_acknowledged(self, acknowledged: asyncio.Event) -> bool:
-        """Wait for an acknowledgement."""
-        waiting = asyncio.ensure_future(acknowledged.wait())
-        await wait_for(self.node.clock, waiting, ACK_TIMEOUT_S)
-        waiting.cancel()
-        return acknowledged.is_set()
-
     def forget_sent(self, records: list[tuple[bytes, FlowRecord]], message: HandoverBatch) -> None:
         """Remove acknowledged records, but send again what has changed meanwhile."""
         for (key, record), sent in zip(records, message.flows, strict=True):
--- /dev/null
+++ b/packages/godwitway/tests/strategies.py
@@ -0,0 +1,32 @@
+"""Hypothesis strategies: flow keys, hosts, targets and redirect headers."""
+
+from hypothesis import strategies as st
+
+from godwitway.process._member import Member, MemberState
+from godwitway.request import Redirect
+from godwitway.request._redirect import MAX_HOPS
+
+flow_keys = st.binary(min_size=13, max_size=13)
+addresses = st.binary(min_size=6, max_size=6)
+zones = st.sampled_from(["a", "b", "c"])
+
+
+@st.composite
+def members(draw: st.DrawFn) -> Member:
+    """Return a live host."""
+    id_ = draw(addresses)
+    return Member(
+        id_, id_.hex(), draw(zones), ("10.0.0.1", 1), ("10.0.0.1", 2), state=MemberState.ALIVE
+    )
+
+
+redirects = st.builds(
+    Redirect,
+    type=st.integers(1, 5),
+    flags=st.integers(0, 0xFFFF),
+    hop=st.integers(0, 2),
+    hops_left=st.integers(0, MAX_HOPS),
+    target=addresses,
+    entry=addresses,
+    pressure=st.lists(st.integers(0, 0xFFFF), min_size=3, max_size=3),
+)
--- /dev/null
+++ b/packages/godwitway/tests/test_order.py
@@ -0,0 +1,32 @@
+"""The order of candidates."""
+
+from builders import build_service
+from hypothesis import given, seed, settings
+from strategies import flow_keys
+
+from godwitway.version import targets_in_order
+
+
+class TestTargetsInOrder:
+    """Tests of `targets_in_order`."""
+
+    @seed(6)
+    @settings(max_examples=200, deadline=None, database=None)
+    @given(flow_keys)
+    def test_adding_a_target_moves_no_other(self, key):
+        """A new target is put into the order and leaves the others as they were."""
+        small, large = build_service(6), build_service(7)
+        new = large.targets[6].id
+        order = [target.id for target in targets_in_order(key, large.targets, large.seeds)]
+        order.remove(new)
+        before = [target.id for target in targets_in_order(key, small.targets, small.seeds)]
+        assert order == before
+
+    def test_spreads_evenly(self):
+        """Each of 7 targets comes first for about a seventh of the keys."""
+        service = build_service(7)
+        counts = dict.fromkeys(service.targets_by_id, 0)
+        for number in range(7000):
+            counts[service.candidates(number.to_bytes(13, "big"))[0].id] += 1
+        assert max(counts.values()) < 1150
+        assert min(counts.values()) > 850
--- /dev/null
+++ b/packages/godwitway/tests/test_packet.py
@@ -0,0 +1,91 @@
+"""Reading flow keys out of packets."""
+
+import dpkt
+import pytest
+from builders import BOARD_PORT, CALLER, tcp_packet, udp_packet
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from godwitway.errors import ErrorKind
+from godwitway.request import answer_key, diagnose, flow_key, format_key, transport_checksum_ok
+
+
+class TestFlowKey:
+    """Tests of `flow_key` and `diagnose`."""
+
+    def test_names_both_ends(self):
+        """A key tells protocol, caller and service."""
+        key = flow_key(tcp_packet())
+        assert key is not None
+        assert format_key(key) == f"tcp {CALLER[0]}:{CALLER[1]} -> 10.10.0.1:{BOARD_PORT}"
+
+    def test_turns_around(self):
+        """The answer's key, turned around, is the caller's."""
+        key = flow_key(udp_packet())
+        assert key is not None
+        assert answer_key(answer_key(key)) == key
+        assert answer_key(key) != key
+
+    @pytest.mark.parametrize(
+        ("damage", "kind"),
+        [
+            (lambda p: p[:12], ErrorKind.TRUNCATED_PACKET),
+            (lambda p: b"\x65" + p[1:], ErrorKind.NOT_IPV4),
+            (lambda p: b"\x46" + p[1:], ErrorKind.NOT_IPV4),
+            (lambda p: p + b"x", ErrorKind.BAD_LENGTH),
+            (lambda p: p[:-1], ErrorKind.BAD_LENGTH),
+            (lambda p: p[:8] + b"\x01" + p[9:], ErrorKind.BAD_CHECKSUM),
+        ],
+    )
+    def test_refuses_damage(self, damage, kind):
+        """A damaged packet has no key, and the error kind says why."""
+        packet = damage(tcp_packet())
+        assert flow_key(packet) is None
+        assert diagnose(packet) == kind
+
+    def test_refuses_fragments(self):
+        """A fragment has no key."""
+        packet = dpkt.ip.IP(tcp_packet())
+        packet.mf = 1
+        packet.sum = 0
+        assert flow_key(bytes(packet)) is None
+        assert diagnose(bytes(packet)) == ErrorKind.FRAGMENT
+
+    def test_refuses_other_protocols(self):
+        """A packet that is neither TCP nor UDP has no key."""
+        packet = dpkt.ip.IP(tcp_packet())
+        packet.p = 1
+        packet.sum = 0
+        assert flow_key(bytes(packet)) is None
+        assert diagnose(bytes(packet)) == ErrorKind.UNSUPPORTED_PROTOCOL
+
+    @seed(1)
+    @settings(max_examples=400, deadline=None, database=None)
+    @given(st.binary(max_size=100))
+    def test_survives_any_bytes(self, packet):
+        """Any bytes give a key or an error kind, never an exception."""
+        if flow_key(packet) is None:
+            assert isinstance(diagnose(packet), ErrorKind)
+
+    @seed(2)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(st.integers(0, 39), st.integers(1, 255))
+    def test_notices_any_changed_byte(self, position, change):
+        """One changed byte is noticed by the header's or by the segment's checksum."""
+        packet = bytearray(tcp_packet(payload=b"ab"))
+        packet[position] ^= change
+        changed = bytes(packet)
+        assert flow_key(changed) is None or not transport_checksum_ok(changed)
+
+
+class TestTransportChecksum:
+    """Tests of `transport_checksum_ok`."""
+
+    def test_accepts_what_dpkt_builds(self):
+        """Checksums that another library computed are right."""
+        assert transport_checksum_ok(tcp_packet(payload=b"abc"))
+        assert transport_checksum_ok(udp_packet(payload=b"abcd"))
+
+    def test_refuses_wrong_payload(self):
+        """A changed payload is noticed."""
+        assert not transport_checksum_ok(udp_packet()[:-1] + b"y")
