--- /dev/null
+++ b/benchmarks/bench.py
@@ -0,0 +1,327 @@
+"""Measures the packet path, flow records and the slopes of control, and prints them.
+
+Each line is ``name: value unit``. Figures that depend on the machine are ratios to a bare loop
+of receiving, looking up and sending that runs beside them.
+"""
+
+import asyncio
+import gc
+import random
+import socket
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+from builders import build_settings, service_document, target_document, tcp_packet
+
+from godwitway.connection import FlowRecord, FlowState, Ledger, OwnedTarget
+from godwitway.process import Clock, Metrics, UdpPort
+from godwitway.process._directory import Directory
+from godwitway.process._door import Door
+from godwitway.process._flows import Flows
+from godwitway.process._journal import Journal
+from godwitway.process._member import Member, MemberState
+from godwitway.process._node import Node
+from godwitway.process._ownership import Ownership
+from godwitway.process._router import Router
+from godwitway.request import ACK, Keyring, Redirect, encode, flow_key
+from godwitway.version import EMPTY, Snapshot, build_snapshot, check_service
+
+PACKETS = 20_000
+ROUNDS = 5
+FLOWS = 300_000
+PAYLOAD = b"x" * 60
+LOOPBACK = "127.0.0.1"
+MICROSECONDS = 1_000_000
+
+
+def report(name: str, value: float, unit: str) -> None:
+    """Print one figure."""
+    sys.stdout.write(f"{name}: {value:.3f} {unit}\n")
+    sys.stdout.flush()
+
+
+class Sockets:
+    """A sender, a port under test and a sink on loopback."""
+
+    def __init__(self) -> None:
+        self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sink.bind((LOOPBACK, 0))
+        self.sink.setblocking(False)
+
+    def fill(self, packets: list[bytes], to: tuple[str, int]) -> None:
+        """Put a batch of packets into a port's buffer."""
+        for packet in packets:
+            self.sender.sendto(packet, to)
+
+    def drain(self) -> None:
+        """Empty the sink."""
+        try:
+            while True:
+                self.sink.recvfrom(65_535)
+        except BlockingIOError:
+            return
+
+
+BATCH = 32
+
+
+def time_batches(sockets: Sockets, port: UdpPort, packets: list[bytes], handle: Callable) -> float:
+    """Return the microseconds that handling one received packet takes."""
+    spent = 0.0
+    for start in range(0, len(packets), BATCH):
+        batch = packets[start : start + BATCH]
+        sockets.fill(batch, port.address)
+        before = time.perf_counter()
+        handle(len(batch))
+        spent += time.perf_counter() - before
+        sockets.drain()
+    return spent / len(packets) * MICROSECONDS
+
+
+class BenchHost:
+    """A host whose ports are real and whose targets are the sink."""
+
+    def __init__(self, sockets: Sockets, clock: Clock) -> None:
+        sink = sockets.sink.getsockname()
+        settings = build_settings(fabric=[sink])
+        self.node = Node(
+            settings,
+            clock,
+            random.Random(1),
+            UdpPort((LOOPBACK, 0)),
+            UdpPort((LOOPBACK, 0)),
+            SilentCourier(),
+            Keyring(settings.keys),
+            Metrics(),
+            Journal("bench", clock.now, lambda line: None),
+        )
+        self.flows = Flows(self.node)
+        self.router = Router(self.node, self.flows)
+        self.door = Door(self.node, self.flows, self.router)
+        self.ownership = Ownership(self.node, self.flows, self.router)
+        self.ownership.apply(bench_snapshot(sink))
+        self.ownership.start(records_may_be_lost=False)
+
+    def read_door(self, count: int) -> None:
+        """Handle packets of the fabric, as the reader task does."""
+        port = self.node.door
+        for _ in range(count):
+            received = port.receive()
+            if received is not None:
+                self.door.guarded(self.door.packet, received)
+
+    def read_peer(self, count: int) -> None:
+        """Handle datagrams of other hosts, as the reader task does."""
+        port = self.node.peer
+        for _ in range(count):
+            received = port.receive()
+            if received is not None:
+                self.door.guarded(self.door.datagram, received)
+
+
+class SilentCourier:
+    """A courier that sends nothing."""
+
+    address = (LOOPBACK, 1)
+
+
+def bench_snapshot(sink: tuple[str, int]) -> Snapshot:
+    """Return a service of seven targets, all of which are the sink's host."""
+    document = service_document(0)
+    document["targets"] = [
+        target_document(1, "a", address=f"127.0.1.{number + 1}:{sink[1]}", connections=10_000_000)
+        for number in range(7)
+    ]
+    document["load_bound"] = 10
+    changes = [(document["name"], msgspec.json.encode(document), 1)]
+    return build_snapshot(EMPTY, 1, changes)[0]
+
+
+def callers(count: int) -> list[tuple[str, int]]:
+    """Return different callers' addresses."""
+    return [(f"172.16.{n // 60_000}.1", 1_024 + n % 60_000) for n in range(count)]
+
+
+def bench_packets(sockets: Sockets, clock: Clock) -> None:
+    """Measure the packet path beside the bare loop."""
+    host = BenchHost(sockets, clock)
+    bare_port = UdpPort((LOOPBACK, 0))
+    sink = sockets.sink.getsockname()
+    established = [tcp_packet(ACK, caller=caller, payload=PAYLOAD) for caller in callers(1_000)]
+    established *= PACKETS // len(established)
+    table = {flow_key(packet): sink for packet in established}
+
+    def bare(count: int) -> None:
+        receive, send = bare_port.socket.recvfrom, bare_port.socket.sendto
+        for _ in range(count):
+            packet, _source = receive(65_535)
+            send(packet, table[packet[12:24] + packet[9:10]])
+
+    for packet in established[:1_000]:
+        host.door.packet(tcp_packet(caller=caller_of(packet)), sink)
+        host.door.packet(packet, sink)
+    redirected = [
+        encode(Redirect(target=b"\0" * 6), packet, host.node.keyring) for packet in established
+    ]
+    samples: dict[str, list[float]] = {}
+    fresh = callers(ROUNDS * 2_000 + 1_000)[1_000:]
+    for turn in range(ROUNDS):
+        first = [
+            tcp_packet(caller=caller, payload=PAYLOAD)
+            for caller in fresh[turn * 2_000 : turn * 2_000 + 2_000]
+        ]
+        runs = {
+            "bare": (bare_port, established, bare),
+            "established": (host.node.door, established, host.read_door),
+            "redirected": (host.node.peer, redirected, host.read_peer),
+            "first": (host.node.door, first, host.read_door),
+        }
+        for name, (port, packets, handle) in runs.items():
+            samples.setdefault(name, []).append(time_batches(sockets, port, packets, handle))
+    median = {name: statistics.median(values) for name, values in samples.items()}
+    report("packet.bare", median["bare"], "us")
+    for name in ("established", "redirected", "first"):
+        report(f"packet.{name}", median[name], "us")
+        report(f"packet.{name}.ratio", median[name] / median["bare"], "times the bare loop")
+    report("packet.admitted", host.node.metrics.counters["flows_admitted", "board"], "flows")
+
+
+def caller_of(packet: bytes) -> tuple[str, int]:
+    """Return the caller of a packet."""
+    return socket.inet_ntoa(packet[12:16]), int.from_bytes(packet[20:22], "big")
+
+
+def bench_memory() -> None:
+    """Measure the memory of flow records with their table and timers."""
+    service = check_service(service_document()).unwrap()
+    owned = OwnedTarget(Ledger(service, service.targets[0], 0.0), 0.0)
+    kind = service.kinds[0]
+    clock = FixedClock()
+    node_flows = FlowTable(clock)
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(FLOWS):
+        key = number.to_bytes(13, "big")
+        record = FlowRecord(owned, kind, FlowState.ESTABLISHED, float(number))
+        node_flows.table[key] = record
+        node_flows.wheel.schedule(key, 7_200.0 + number / 100)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    report("flow.bytes", used / FLOWS, "bytes a flow")
+    report("flow.count", FLOWS, "flows")
+
+
+class FixedClock:
+    """A clock that stands."""
+
+    def now(self) -> float:
+        """Return the time."""
+        return 0.0
+
+
+class FlowTable:
+    """The table and the timers of flow records."""
+
+    def __init__(self, clock: FixedClock) -> None:
+        from godwitway.connection import ExpiryWheel
+
+        self.table: dict[bytes, FlowRecord] = {}
+        self.wheel = ExpiryWheel(clock.now())
+
+
+def region_snapshot(targets: int, zones: int) -> Snapshot:
+    """Return a snapshot with many targets, seven for each service."""
+    changes = []
+    for number in range(targets // 7):
+        document = service_document(0) | {
+            "name": f"service-{number}",
+            "address": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}",
+        }
+        document["targets"] = [
+            target_document(1, f"zone-{(number + index) % zones}", address=f"11.{number >> 8}.{number & 255}.{index + 1}:9000")
+            for index in range(7)
+        ]
+        changes.append((document["name"], msgspec.json.encode(document), 1))
+    return build_snapshot(EMPTY, 1, changes)[0]
+
+
+def many_members(count: int, zones: int) -> list[Member]:
+    """Return many live hosts."""
+    return [
+        Member(
+            bytes([12, n >> 8, n & 255, 1, 0, 1]),
+            f"host-{n}",
+            f"zone-{n % zones}",
+            (LOOPBACK, 1),
+            (LOOPBACK, 2),
+            state=MemberState.ALIVE,
+        )
+        for n in range(count)
+    ]
+
+
+def bench_ownership() -> None:
+    """Measure ownership and configuration at the size of a region."""
+    hosts, targets, zones = 2_900, 20_000, 3
+    members = many_members(hosts, zones)
+    gc.collect()
+    tracemalloc.start()
+    snapshot = region_snapshot(targets, zones)
+    config_bytes = tracemalloc.get_traced_memory()[0]
+    directory = Directory()
+    for member in members:
+        directory.add_host(member)
+    before = time.perf_counter()
+    directory.apply(snapshot)
+    first = time.perf_counter() - before
+    total = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    report("config.bytes", config_bytes / targets, "bytes a target")
+    report("directory.bytes", (total - config_bytes) / targets, "bytes a target")
+    report("directory.start", first, "s for a region (traced)")
+    deaths = []
+    for member in members[:20]:
+        before = time.perf_counter()
+        directory.remove_host(member.id)
+        deaths.append(time.perf_counter() - before)
+    report("directory.death", statistics.median(deaths) * 1000, "ms")
+    joins = []
+    for member in members[:20]:
+        before = time.perf_counter()
+        directory.add_host(member)
+        joins.append(time.perf_counter() - before)
+    report("directory.join", statistics.median(joins) * 1000, "ms")
+    bench_change(snapshot, directory)
+
+
+def bench_change(snapshot: Snapshot, directory: Directory) -> None:
+    """Measure putting one change in force in a region."""
+    times = []
+    for number in range(10):
+        name = f"service-{number}"
+        document = snapshot.documents[name].replace(b'"urgency":9', b'"urgency":8')
+        before = time.perf_counter()
+        later, _ = build_snapshot(snapshot, 2 + number, [(name, document, 2 + number)])
+        directory.apply(later)
+        times.append(time.perf_counter() - before)
+    report("config.change", statistics.median(times) * 1000, "ms")
+
+
+async def bench_all() -> None:
+    """Run all measurements."""
+    from godwitway.process import LoopClock
+
+    bench_packets(Sockets(), LoopClock())
+    bench_memory()
+    bench_ownership()
+
+
+if __name__ == "__main__":
+    gc.set_threshold(50_000, 20, 50)
+    asyncio.run(bench_all())
--- a/packages/godwitctl/src/godwitctl/_commands.py
+++ b/packages/godwitctl/src/godwitctl/_commands.py
@@ -111,7 +111,7 @@
         lagging = [
             host
             for host in lagging_hosts(status.unwrap(), revision)
-            if host["state"] in ("alive", "suspect")
+            if host["state"] in ("joining", "alive", "suspect")
         ]
         if not lagging:
             return Ok({"revision": revision, "hosts": len(status.unwrap()["hosts"])})
--- /dev/null
+++ b/packages/godwitwayd/tests/test_cli.py
@@ -0,0 +1,59 @@
+"""The daemon's command line and logs."""
+
+import json
+import logging
+
+import cappa
+import pytest
+from godwitway.process import ApiSettings
+
+from godwitwayd._logs import JsonLineFormatter
+from godwitwayd.cli import Daemon, load
+
+VALID = """{
+  // a host
+  "name": "entry-1", "zone": "a", "door": "127.0.0.1:4000", "peer": "127.0.0.1:4001",
+  "control": "127.0.0.1:4002", "api": {"address": "127.0.0.1:4003"},
+  "fabric": ["127.0.0.1:4100"], "keys": ["00112233445566778899aabbccddeeff"],
+}"""
+
+
+class TestCheck:
+    """Tests of `godwitwayd check`."""
+
+    def test_valid_file(self, tmp_path, capsys):
+        """A valid file is confirmed with the host's name and zone."""
+        path = tmp_path / "entry.jsonc"
+        path.write_text(VALID)
+        cappa.invoke(Daemon, argv=["check", str(path)])
+        assert "host entry-1, zone a" in capsys.readouterr().out
+        assert isinstance(load(path).api, ApiSettings)
+
+    def test_all_errors_are_printed(self, tmp_path, capsys):
+        """Every error is printed with its field, and the exit code is 3."""
+        path = tmp_path / "entry.jsonc"
+        path.write_text(VALID.replace('"zone": "a"', '"zonee": "a"').replace("4000", "0"))
+        with pytest.raises(cappa.Exit) as exit_:
+            cappa.invoke(Daemon, argv=["check", str(path)])
+        assert exit_.value.code == 3
+        printed = capsys.readouterr().err
+        for part in ("zonee: unknown key; did you mean 'zone'?", "zone: is required", "door: "):
+            assert part in printed
+
+
+class TestLogs:
+    """Tests of JSON lines."""
+
+    def format(self, message: str) -> dict:
+        """Return the line of a message."""
+        record = logging.LogRecord("x", logging.INFO, "f", 1, message, None, None)
+        return json.loads(JsonLineFormatter().format(record))
+
+    def test_events_keep_their_fields(self):
+        """A message that is a JSON object becomes the line's fields."""
+        assert self.format('{"event": "drop", "flow": "tcp"}')["flow"] == "tcp"
+
+    def test_text_is_wrapped(self):
+        """Any other message is one field, also when it looks like JSON."""
+        assert self.format("hello")["message"] == "hello"
+        assert self.format("{broken")["message"] == "{broken"
