--- a/packages/godwitway/src/godwitway/version/_service.py
+++ b/packages/godwitway/src/godwitway/version/_service.py
@@ -136,7 +136,6 @@
         kinds: The kinds of work.
         targets: The backend servers.
         answers: ``"via_entry"`` or ``"direct"``.
-        fabric_scope: The zones whose hosts may get a flow's packets; empty for all.
         load_bound: How far above the mean load a target may go, as a fraction.
         max_draining: How many targets may drain at once; 0 for no limit.
         drain: The terms for flows on draining targets.
@@ -147,7 +146,6 @@
     kinds: list[Kind]
     targets: list[Target]
     answers: str
-    fabric_scope: list[str]
     load_bound: float
     max_draining: int
     drain: Drain
@@ -214,7 +212,6 @@
         Field("kinds", list_of(CHECK_KIND, at_least=1)),
         Field("targets", list_of(CHECK_TARGET)),
         Field("answers", choice("via_entry", "direct"), "via_entry"),
-        Field("fabric_scope", list_of(text), list),
         Field("load_bound", number(0.01, 10), DEFAULT_LOAD_BOUND),
         Field("max_draining", integer(0, 100_000), 0),
         Field("drain", CHECK_DRAIN, Drain),
--- a/packages/godwitway/tests/test_router.py
+++ b/packages/godwitway/tests/test_router.py
@@ -309,6 +309,18 @@
         assert owned.ledger.connections == 0
         assert host.forwarded()[-1][0] == tcp_packet(flags)
 
+    def test_direct_answers_need_no_sight_of_them(self):
+        """When servers answer callers directly, a flow lives by the caller's packets alone."""
+        host = OneHost()
+        host.node.snapshot.services["auction"].answers = "direct"
+        host.caller(tcp_packet(port=LOTS_PORT))
+        owned = host.record(tcp_packet(port=LOTS_PORT)).owned
+        host.caller(tcp_packet(ACK, LOTS_PORT))
+        assert owned.ledger.busy == 1
+        assert owned.health.last_answer == host.clock.time
+        host.caller(tcp_packet(FIN | ACK, LOTS_PORT))
+        assert owned.ledger.busy == 0
+
     def test_ports_are_reused(self):
         """A SYN some time after the end of a flow opens a new one."""
         host = OneHost()
