Read ports in one loop and split what owners learn from answers

A task that the host started after its start (configuration, probes, the door) could fail without ending the process, which then served without it.

A failed task always ends the process now.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -20,6 +20,7 @@
 
 from godwitway.connection import ExpiryWheel, FlowRecord, FlowState, Ledger, OwnedTarget
 from godwitway.process import Clock, LoopClock, Metrics, UdpPort
+from godwitway.process._answers import Answers
 from godwitway.process._directory import Directory
 from godwitway.process._door import Door
 from godwitway.process._flows import Flows
@@ -115,7 +116,8 @@
         )
         self.flows = Flows(self.node)
         self.router = Router(self.node, self.flows)
-        self.door = Door(self.node, self.flows, self.router)
+        answers = Answers(self.node, self.flows, self.router)
+        self.door = Door(self.node, self.flows, self.router, answers)
         self.ownership = Ownership(self.node, self.flows, self.router)
         self.ownership.apply(bench_snapshot(sink))
         self.ownership.start(records_may_be_lost=False)
--- a/packages/godwitway-standins/src/godwitway_standins/_baselines.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_baselines.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from godwitway.addresses import Address, pack_address
+from godwitway.process import batches
 from godwitway.request import SYN, flow_key, tcp_flags
 from godwitway.version import EMPTY, Service, Snapshot, Target, build_snapshot
 
@@ -13,7 +14,6 @@
 
 __all__ = ["RendezvousEntry", "RoundRobinEntry"]
 
-BATCH = 64
 CONFIG_LAG_MOST_S = 1.0
 
 
@@ -65,13 +65,9 @@
 
     async def run(self) -> None:
         """Forward packets for ever."""
-        while True:
-            await self.port.readable()
-            for _ in range(BATCH):
-                received = self.port.receive()
-                if received is None:
-                    break
-                self.packet(*received)
+        async for batch in batches(self.port):
+            for packet, source in batch:
+                self.packet(packet, source)
 
     def packet(self, packet: bytes, source: Address) -> None:
         """Forward one packet."""
--- a/packages/godwitway-standins/src/godwitway_standins/_fabric.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_fabric.py
@@ -1,13 +1,12 @@
 """The fabric: sprays callers' packets over the entries and brings answers back."""
 
 from godwitway.addresses import Address
-from godwitway.process import DatagramPort
+from godwitway.process import DatagramPort, batches
 
 from godwitway_standins._spray import Spray
 
 __all__ = ["Fabric", "is_cut_caller"]
 
-BATCH = 64
 CUT_CALLERS_EACH = 4
 
 
@@ -34,13 +33,9 @@
 
     async def run(self) -> None:
         """Carry packets for ever."""
-        while True:
-            await self.port.readable()
-            for _ in range(BATCH):
-                received = self.port.receive()
-                if received is None:
-                    break
-                self.carry(*received)
+        async for batch in batches(self.port):
+            for packet, source in batch:
+                self.carry(packet, source)
 
     def carry(self, packet: bytes, source: Address) -> None:
         """Carry one packet to an entry or to its caller."""
--- a/packages/godwitway-standins/src/godwitway_standins/_player.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_player.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from godwitway.addresses import Address, parse_address, unpack_address
-from godwitway.process import Clock, DatagramPort, wait_for_event
+from godwitway.process import Clock, DatagramPort, batches, wait_for_event
 from godwitway.request import ACK, FIN, RST, SYN, answer_key, flow_key
 from godwitway.version import TCP, UDP
 
@@ -21,7 +21,6 @@
 
 __all__ = ["FlowResult", "Player", "Verdict"]
 
-BATCH = 64
 ICMP = 1
 SYN_RETRY_S = (1.0, 2.0, 4.0, 8.0)
 DATA_RETRY_S = (0.3, 0.6, 1.2, 2.4, 4.8)
@@ -125,13 +124,9 @@
 
     async def read(self) -> None:
         """Take in answers for ever."""
-        while True:
-            await self.port.readable()
-            for _ in range(BATCH):
-                received = self.port.receive()
-                if received is None:
-                    break
-                self.packet(received[0])
+        async for batch in batches(self.port):
+            for packet, _ in batch:
+                self.packet(packet)
 
     async def play_flow(self, stream: Stream) -> None:
         """Play one flow."""
--- a/packages/godwitway-standins/src/godwitway_standins/_server.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_server.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from godwitway.addresses import Address, pack_address, unpack_address
-from godwitway.process import Clock, DatagramPort, wait_for_event
+from godwitway.process import Clock, DatagramPort, batches, wait_for_event
 from godwitway.request import ACK, FIN, RST, SYN, flow_key
 from godwitway.version import TCP
 
@@ -21,7 +21,6 @@
 
 __all__ = ["BackendServer"]
 
-BATCH = 64
 SEGMENT_BYTES = 1_000
 WINDOW_SEGMENTS = 16
 RETRANSMIT_S = 0.4
@@ -112,13 +111,9 @@
 
     async def run(self) -> None:
         """Serve for ever."""
-        while True:
-            await self.port.readable()
-            for _ in range(BATCH):
-                received = self.port.receive()
-                if received is None:
-                    break
-                self.packet(received[0])
+        async for batch in batches(self.port):
+            for packet, _ in batch:
+                self.packet(packet)
 
     def start(self, job: "asyncio.Future[None] | object") -> "asyncio.Task[None]":
         """Start a task and keep it until it ends."""
--- a/packages/godwitway-standins/tests/test_membership.py
+++ b/packages/godwitway-standins/tests/test_membership.py
@@ -156,3 +156,23 @@
             assert not leaving.host.flows.departing
 
         in_world(job)
+
+
+class TestFailure:
+    """Tests of a task that fails."""
+
+    def test_a_failed_task_ends_the_process(self):
+        """When a task fails, also one that began late, the host stops with its error."""
+
+        async def job(world):
+            host = hosts(world)[0].host
+
+            async def fail() -> None:
+                raise RuntimeError("broken")
+
+            host.launch(fail())
+            await world.clock.sleep(0.1)
+            assert host.stopped.is_set()
+            assert str(host.failure) == "broken"
+
+        in_world(job)
--- a/packages/godwitway/src/godwitway/process/__init__.py
+++ b/packages/godwitway/src/godwitway/process/__init__.py
@@ -8,7 +8,7 @@
 from godwitway.process._host import Host, Links
 from godwitway.process._journal import Journal
 from godwitway.process._metrics import Metrics
-from godwitway.process._ports import DatagramPort, UdpPort
+from godwitway.process._ports import DatagramPort, UdpPort, batches
 from godwitway.process._reports import EndpointReport, HealthSource, HttpHealth
 from godwitway.process._settings import ApiSettings, Settings, check_settings, read_settings
 from godwitway.process._store import (
@@ -57,6 +57,7 @@
     "TxnResult",
     "UdpPort",
     "WatchEvent",
+    "batches",
     "build_app",
     "check_settings",
     "read_settings",
--- /dev/null
+++ b/packages/godwitway/src/godwitway/process/_answers.py
@@ -0,0 +1,100 @@
+"""What an owner learns from the answers of its targets that entries show to it."""
+
+from godwitway.connection import FlowRecord, FlowState
+from godwitway.process._flows import Flows
+from godwitway.process._node import Node
+from godwitway.process._router import Router
+from godwitway.request import RST, SYN, Redirect, tcp_flags
+from godwitway.request._redirect import ASKED_PREVIOUS
+from godwitway.version import UDP
+
+__all__ = ["Answers"]
+
+
+class Answers:
+    """Follows the state of flows by what their targets answer.
+
+    Attributes:
+        node: The host.
+        flows: The flows of the targets that this host owns.
+        router: Takes requests that another target has to run.
+    """
+
+    __slots__ = ("flows", "node", "router")
+
+    def __init__(self, node: Node, flows: Flows, router: Router) -> None:
+        self.node = node
+        self.flows = flows
+        self.router = router
+
+    def shown(self, packet: bytes, key: bytes, redirect: Redirect) -> None:
+        """Learn from an answer of a target that this host owns."""
+        record = self.flows.table.get(key)
+        if record is None:
+            self.unknown(packet, key, redirect)
+            return
+        if record.owned.ledger.target.id != redirect.target:
+            return
+        now = self.node.now()
+        flags = tcp_flags(packet)
+        if record.kind.protocol == UDP:
+            if record.kind.holds_slot:
+                record.owned.health.answered(now)
+                self.flows.earn_retry(record.owned.ledger.service)
+                self.flows.finish(key, record, now)
+        elif flags & RST:
+            self.reset(packet, key, record, now)
+        elif flags & SYN:
+            if record.state == FlowState.OPENING:
+                self.flows.answered(record, now)
+                self.flows.wheel.schedule(key, now + self.flows.patience(record))
+        elif record.state in (FlowState.TENTATIVE, FlowState.OPENING):
+            self.flows.establish(record, now)
+            self.flows.finish(key, record, now)
+        else:
+            self.flows.finish(key, record, now)
+
+    def unknown(self, packet: bytes, key: bytes, redirect: Redirect) -> None:
+        """Pass on an answer whose flow this host has no record of."""
+        owned = self.flows.owned.get(redirect.target)
+        if owned is not None and owned.previous is not None and redirect.hops_left > 0:
+            redirect.hops_left -= 1
+            redirect.flags |= ASKED_PREVIOUS
+            member = self.node.members.get(owned.previous)
+            if member is not None:
+                self.node.send_datagram(redirect, packet, member.address)
+                return
+        # A reset of an unknown flow may answer a packet that only strayed to this target. If the
+        # flow did end, the caller's next packet brings the reset about again.
+        self.node.metrics.count("resets_of_unknown_flows")
+
+    def reset(self, packet: bytes, key: bytes, record: FlowRecord, now: float) -> None:
+        """Handle a target's reset: shed, not mine, or the end of a flow."""
+        if record.state == FlowState.OPENING and record.packet is not None:
+            self.shed(packet, key, record, now)
+        elif record.state == FlowState.TENTATIVE and record.packet is not None:
+            self.not_mine(key, record)
+        else:
+            self.flows.finish(key, record, now)
+            self.node.to_fabric(packet)
+
+    def shed(self, reset: bytes, key: bytes, record: FlowRecord, now: float) -> None:
+        """Try a request that its target turned away at the next candidate."""
+        service = record.owned.ledger.service
+        first_packet = record.packet or b""
+        record.owned.health.reset(now)
+        self.flows.forget(key, record)
+        self.node.metrics.count("requests_shed", record.kind.name)
+        if not self.flows.spend_retry(service):
+            self.node.journal.event("refuse", key, reason="shed", kind=record.kind.name)
+            self.node.to_fabric(reset)
+            return
+        self.node.metrics.count("requests_retried", record.kind.name)
+        self.router.try_next(first_packet, key, record)
+
+    def not_mine(self, key: bytes, record: FlowRecord) -> None:
+        """Try the next recovering owner for an adopted flow that its target does not know."""
+        packet = record.packet or b""
+        self.flows.forget(key, record)
+        self.node.journal.event("not_mine", key, target=record.owned.ledger.target.id.hex())
+        self.router.try_next(packet, key, record)
--- a/packages/godwitway/src/godwitway/process/_config.py
+++ b/packages/godwitway/src/godwitway/process/_config.py
@@ -252,8 +252,7 @@
         if self.node.now() - self.pulled_at < PULL_GAP_S:
             return
         self.pulled_at = self.node.now()
-        task = asyncio.ensure_future(self.pull_later(member.id))
-        task.add_done_callback(raise_failure)
+        self.node.spawn(self.pull_later(member.id))
 
     async def pull_later(self, host: bytes) -> None:
         """Pull from a peer when no delta has come after a short wait."""
@@ -350,9 +349,3 @@
     async def wait_for_state(self, seconds: float) -> bool:
         """Wait until a peer has sent its state, and return whether one has."""
         return await wait_for_event(self.node.clock, self.state_received, seconds)
-
-
-def raise_failure(task: "asyncio.Task[None]") -> None:
-    """Let a failed background task show its error."""
-    if not task.cancelled() and task.exception() is not None:
-        raise task.exception()  # type: ignore[misc]
--- a/packages/godwitway/src/godwitway/process/_door.py
+++ b/packages/godwitway/src/godwitway/process/_door.py
@@ -9,11 +9,12 @@
 from godwitway.addresses import Address, pack_address
 from godwitway.connection import FlowState
 from godwitway.errors import ErrorKind
+from godwitway.process._answers import Answers
 from godwitway.process._budget import DoorBudget
 from godwitway.process._flows import Flows
 from godwitway.process._loads import LoadReport
 from godwitway.process._node import Node
-from godwitway.process._ports import BATCH
+from godwitway.process._ports import batches
 from godwitway.process._router import Router, is_first
 from godwitway.request import (
     FIN,
@@ -67,6 +68,7 @@
         node: The host.
         flows: The flows of the owned targets.
         router: The chain of candidates.
+        answers: What owners learn from answers.
         cache: The soft cache.
         budget: The fair limit on packets.
         membership_datagram: Takes the datagrams of the membership protocol.
@@ -76,6 +78,7 @@
     """
 
     __slots__ = (
+        "answers",
         "awake_at",
         "budget",
         "cache",
@@ -87,10 +90,11 @@
         "router",
     )
 
-    def __init__(self, node: Node, flows: Flows, router: Router) -> None:
+    def __init__(self, node: Node, flows: Flows, router: Router, answers: Answers) -> None:
         self.node = node
         self.flows = flows
         self.router = router
+        self.answers = answers
         self.cache = SoftCache()
         self.budget = DoorBudget(node.settings.door_packets_per_s, node.now())
         self.membership_datagram = ignore_datagram
@@ -100,28 +104,18 @@
 
     async def read_door(self) -> None:
         """Empty the door's port for ever."""
-        port = self.node.door
-        while True:
-            await port.readable()
+        async for batch in batches(self.node.door):
             self.notice_pause()
-            self.budget.start_batch(self.node.now())
-            for _ in range(BATCH):
-                received = port.receive()
-                if received is None:
-                    break
-                self.last_packet = self.awake_at
+            self.last_packet = self.awake_at
+            self.budget.start_batch(self.awake_at)
+            for received in batch:
                 self.guarded(self.packet, received)
 
     async def read_peer(self) -> None:
         """Empty the port for datagrams of other hosts for ever."""
-        port = self.node.peer
-        while True:
-            await port.readable()
+        async for batch in batches(self.node.peer):
             self.notice_pause()
-            for _ in range(BATCH):
-                received = port.receive()
-                if received is None:
-                    break
+            for received in batch:
                 self.guarded(self.datagram, received)
 
     def guarded(
@@ -213,7 +207,7 @@
         """Show an answer to the owner of the target that sent it."""
         redirect = Redirect(type=DatagramType.SHOWN_ANSWER, target=target, entry=self.node.id)
         if target in self.flows.owned or key in self.flows.table:
-            self.router.shown_answer(packet, key, redirect)
+            self.answers.shown(packet, key, redirect)
             return
         owner = self.node.directory.owner_of(target)
         member = self.node.members.get(owner) if owner is not None else None
@@ -265,7 +259,7 @@
         if len(packet) < SHOWN_BYTES and (len(packet) < 28 or packet[9] == TCP):
             self.node.drop(ErrorKind.TRUNCATED_PACKET)
             return
-        self.router.shown_answer(packet, answer_key(packet[12:24] + packet[9:10]), redirect)
+        self.answers.shown(packet, answer_key(packet[12:24] + packet[9:10]), redirect)
 
     def learn_loads(self, body: bytes) -> None:
         """Take over the load reports of another owner."""
--- a/packages/godwitway/src/godwitway/process/_host.py
+++ b/packages/godwitway/src/godwitway/process/_host.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
 
+from godwitway.process._answers import Answers
 from godwitway.process._clock import Clock
 from godwitway.process._config import Config
 from godwitway.process._control import Control
@@ -74,7 +77,8 @@
     Attributes:
         node: What the parts share.
         tasks: The running tasks.
-        stopped: Set when a planned stop is complete.
+        stopped: Set when a planned stop is complete, or a task has failed.
+        failure: Why a task failed, if one did.
     """
 
     def __init__(
@@ -100,7 +104,8 @@
         )
         self.flows = Flows(self.node)
         self.router = Router(self.node, self.flows)
-        self.door = Door(self.node, self.flows, self.router)
+        answers = Answers(self.node, self.flows, self.router)
+        self.door = Door(self.node, self.flows, self.router, answers)
         self.ownership = Ownership(self.node, self.flows, self.router)
         self.control = Control(self.node)
         self.config = Config(self.node, self.ownership, self.control, links.store)
@@ -115,6 +120,7 @@
         self.writes = Writes(links.store, clock)
         self.tasks: list[asyncio.Task[None]] = []
         self.stopped = asyncio.Event()
+        self.failure: BaseException | None = None
         self.connect_parts()
 
     def connect_parts(self) -> None:
@@ -153,27 +159,39 @@
             self.reports.run_loads(),
             self.reports.run_health(),
         ]
-        self.tasks = [asyncio.ensure_future(job) for job in jobs]
+        for job in jobs:
+            self.launch(job)
+
+    def launch(self, job: Coroutine[Any, Any, None]) -> None:
+        """Run a task for as long as the process."""
+        task = asyncio.ensure_future(job)
+        self.tasks.append(task)
+        task.add_done_callback(self.task_done)
+
+    def task_done(self, task: "asyncio.Task[None]") -> None:
+        """Let the failure of a task end the process."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failure = task.exception()
+            self.stopped.set()
 
     async def run(self) -> None:
         """Run until a planned stop is complete; a failed task ends the process."""
         self.start()
-        stopped = asyncio.ensure_future(self.stopped.wait())
-        done, _ = await asyncio.wait([stopped, *self.tasks], return_when=asyncio.FIRST_COMPLETED)
+        await self.stopped.wait()
         self.cancel()
-        for task in done:
-            task.result()
+        if self.failure is not None:
+            raise self.failure
 
     def cancel(self) -> None:
         """Cancel all tasks."""
-        for task in [*self.tasks, *self.handover.tasks.values(), *self.reports.tasks.values()]:
+        helpers = [*self.handover.tasks.values(), *self.reports.tasks.values()]
+        for task in [*self.tasks, *helpers, *self.node.background]:
             task.cancel()
 
     async def join(self) -> None:
         """Find the peers, take over their state and begin to own targets."""
         node = self.node
-        config = asyncio.ensure_future(self.config.run())
-        self.tasks.append(config)
+        self.launch(self.config.run())
         deadline = node.now() + node.settings.cold_boot_s
         while not node.members and node.now() < deadline:
             self.membership.knock()
@@ -186,7 +204,7 @@
         self.membership.announce()
         # Until here the fabric's packets waited in the socket's buffer.
         for job in (self.membership.run(), self.door.read_door()):
-            self.tasks.append(asyncio.ensure_future(job))
+            self.launch(job)
         await self.keep_knocking()
 
     async def keep_knocking(self) -> None:
@@ -224,8 +242,7 @@
             # What waits may be running elsewhere by now, so it gets no answer.
             for waiting in owned.ledger.drop_all_waiting():
                 self.flows.table.pop(waiting.key, None)
-        task = asyncio.ensure_future(self.resume())
-        self.tasks.append(task)
+        node.spawn(self.resume())
 
     async def resume(self) -> None:
         """Learn from the peers what happened during a pause."""
@@ -239,11 +256,6 @@
             owned.since = now
             owned.lost = True
         node.admitting = True
-        await self.forever()
-
-    async def forever(self) -> None:
-        """Never return, so that only a failure ends the process."""
-        await asyncio.Event().wait()
 
     # A planned stop
 
--- a/packages/godwitway/src/godwitway/process/_membership.py
+++ b/packages/godwitway/src/godwitway/process/_membership.py
@@ -225,8 +225,7 @@
         """Ping a host on behalf of another and pass its answer on."""
         member = self.node.members.get(probe.about)
         if member is not None:
-            task = asyncio.ensure_future(self.relay_ping(probe, member, source))
-            task.add_done_callback(log_failure)
+            self.node.spawn(self.relay_ping(probe, member, source))
 
     async def relay_ping(self, probe: Probe, member: Member, source: Address) -> None:
         """Wait for the answer to a ping on behalf of another host."""
@@ -366,9 +365,3 @@
     if heard.boot != known.boot:
         return heard.state <= MemberState.SUSPECT and known.state >= MemberState.LEAVING
     return heard.state > known.state
-
-
-def log_failure(task: "asyncio.Task[None]") -> None:
-    """Let a failed background task show its error."""
-    if not task.cancelled() and task.exception() is not None:
-        raise task.exception()  # type: ignore[misc]
--- a/packages/godwitway/src/godwitway/process/_node.py
+++ b/packages/godwitway/src/godwitway/process/_node.py
@@ -1,8 +1,12 @@
 """What all parts of one host process share."""
 
+import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
+
+from absl import logging
 
 from godwitway.addresses import Address, pack_address
 from godwitway.errors import ErrorKind
@@ -40,6 +44,7 @@
         admitting: False while the host does not know who owns what.
         joined: Whether the host knows its peers and owns targets.
         leaving: Whether the host is stopping.
+        background: The background jobs that are running.
         indirect: Hosts that are alive but that this one's datagrams do not reach.
         host_states: The platform's lagging list: state and version by IP address.
         boot: The random number of this process.
@@ -64,6 +69,7 @@
     admitting: bool = False
     joined: bool = False
     leaving: bool = False
+    background: set["asyncio.Task[None]"] = field(default_factory=set)
     indirect: set[bytes] = field(default_factory=set)
     host_states: dict[str, tuple[str, int]] = field(default_factory=dict)
     boot: int = 0
@@ -80,6 +86,19 @@
         self.directory = Directory(self.settings.zone)
         self.started_at = self.now()
 
+    def spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        """Run a short background job; its failure is logged and counted."""
+        task = asyncio.ensure_future(job)
+        self.background.add(task)
+        task.add_done_callback(self.job_done)
+
+    def job_done(self, task: "asyncio.Task[None]") -> None:
+        """Forget a background job, and log it when it failed."""
+        self.background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.metrics.count("internal_errors")
+            logging.error("a background job failed", exc_info=task.exception())
+
     def drop(self, kind: ErrorKind, key: bytes | None = None, **fields: object) -> None:
         """Count a dropped packet by its error kind, and log it when its flow is known."""
         self.metrics.count("packets_dropped", kind.value)
--- a/packages/godwitway/src/godwitway/process/_ports.py
+++ b/packages/godwitway/src/godwitway/process/_ports.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
+from itertools import islice
 from typing import Protocol
 
 from godwitway.addresses import Address
 
-__all__ = ["BATCH", "DatagramPort", "UdpPort"]
+__all__ = ["DatagramPort", "UdpPort", "batches"]
 
 BATCH = 64
 MAX_DATAGRAM_BYTES = 65_535
@@ -31,6 +33,13 @@
         """Stop sending and receiving."""
 
 
+async def batches(port: DatagramPort) -> AsyncIterator[list[tuple[bytes, Address]]]:
+    """Yield what arrives at a port for ever, up to 64 datagrams at a time."""
+    while True:
+        await port.readable()
+        yield list(islice(iter(port.receive, None), BATCH))
+
+
 class UdpPort:
     """A datagram port on a UDP socket."""
 
--- a/packages/godwitway/src/godwitway/process/_router.py
+++ b/packages/godwitway/src/godwitway/process/_router.py
@@ -394,9 +394,16 @@
         if not open_hops:
             self.refuse_if_certain(packet, key, redirect, kind, ErrorKind.NO_TARGET)
             return
-        redirect.hop = min(open_hops, key=lambda hop: pressures[hop])
+        best = min(open_hops, key=lambda hop: pressures[hop])
+        self.send_finally(packet, key, redirect, candidates, best)
+
+    def send_finally(
+        self, packet: bytes, key: bytes, redirect: Redirect, candidates: list[Target], hop: int
+    ) -> None:
+        """Send a first packet to the candidate that decides about it for good."""
+        redirect.hop = hop
         redirect.flags |= FINAL
-        redirect.target = candidates[redirect.hop].id
+        redirect.target = candidates[hop].id
         if not self.send_to_owner(packet, key, redirect):
             self.node.drop(ErrorKind.OWNER_UNREACHABLE, key)
 
@@ -414,11 +421,7 @@
         if skipped or not only_one or redirect.flags & JUST_SEEN:
             self.node.drop(ErrorKind.FATE_UNKNOWN, key, recovering=recovering, unreachable=skipped)
             return
-        redirect.hop = first_bit(recovering)
-        redirect.flags |= FINAL
-        redirect.target = candidates[redirect.hop].id
-        if not self.send_to_owner(packet, key, redirect):
-            self.node.drop(ErrorKind.OWNER_UNREACHABLE, key)
+        self.send_finally(packet, key, redirect, candidates, first_bit(recovering))
 
     def refuse_if_certain(
         self, packet: bytes, key: bytes, redirect: Redirect, kind: Kind, reason: ErrorKind
@@ -429,78 +432,6 @@
         else:
             self.node.drop(ErrorKind.FATE_UNKNOWN, key)
 
-    def shown_answer(self, packet: bytes, key: bytes, redirect: Redirect) -> None:
-        """Learn from an answer of a target that this host owns."""
-        record = self.flows.table.get(key)
-        if record is None:
-            self.shown_unknown(packet, key, redirect)
-            return
-        if record.owned.ledger.target.id != redirect.target:
-            return
-        now = self.node.now()
-        flags = tcp_flags(packet)
-        if record.kind.protocol == UDP:
-            if record.kind.holds_slot:
-                record.owned.health.answered(now)
-                self.flows.earn_retry(record.owned.ledger.service)
-                self.flows.finish(key, record, now)
-        elif flags & RST:
-            self.shown_reset(packet, key, record, now)
-        elif flags & SYN:
-            if record.state == FlowState.OPENING:
-                self.flows.answered(record, now)
-                self.flows.wheel.schedule(key, now + self.flows.patience(record))
-        elif record.state in (FlowState.TENTATIVE, FlowState.OPENING):
-            self.flows.establish(record, now)
-            self.flows.finish(key, record, now)
-        else:
-            self.flows.finish(key, record, now)
-
-    def shown_unknown(self, packet: bytes, key: bytes, redirect: Redirect) -> None:
-        """Pass on an answer whose flow this host has no record of."""
-        owned = self.flows.owned.get(redirect.target)
-        if owned is not None and owned.previous is not None and redirect.hops_left > 0:
-            redirect.hops_left -= 1
-            redirect.flags |= ASKED_PREVIOUS
-            member = self.node.members.get(owned.previous)
-            if member is not None:
-                self.node.send_datagram(redirect, packet, member.address)
-                return
-        # A reset of an unknown flow may answer a packet that only strayed to this target. If the
-        # flow did end, the caller's next packet brings the reset about again.
-        self.node.metrics.count("resets_of_unknown_flows")
-
-    def shown_reset(self, packet: bytes, key: bytes, record: FlowRecord, now: float) -> None:
-        """Handle a target's reset: shed, not mine, or the end of a flow."""
-        if record.state == FlowState.OPENING and record.packet is not None:
-            self.shed(packet, key, record, now)
-        elif record.state == FlowState.TENTATIVE and record.packet is not None:
-            self.not_mine(key, record)
-        else:
-            self.flows.finish(key, record, now)
-            self.node.to_fabric(packet)
-
-    def shed(self, reset: bytes, key: bytes, record: FlowRecord, now: float) -> None:
-        """Try a request that its target turned away at the next candidate."""
-        service = record.owned.ledger.service
-        first_packet = record.packet or b""
-        record.owned.health.reset(now)
-        self.flows.forget(key, record)
-        self.node.metrics.count("requests_shed", record.kind.name)
-        if not self.flows.spend_retry(service):
-            self.node.journal.event("refuse", key, reason="shed", kind=record.kind.name)
-            self.node.to_fabric(reset)
-            return
-        self.node.metrics.count("requests_retried", record.kind.name)
-        self.try_next(first_packet, key, record)
-
-    def not_mine(self, key: bytes, record: FlowRecord) -> None:
-        """Try the next recovering owner for an adopted flow that its target does not know."""
-        packet = record.packet or b""
-        self.flows.forget(key, record)
-        self.node.journal.event("not_mine", key, target=record.owned.ledger.target.id.hex())
-        self.try_next(packet, key, record)
-
     def try_next(self, packet: bytes, key: bytes, record: FlowRecord) -> None:
         """Ask the candidates after the target of a record that was removed."""
         target = record.owned.ledger.target
--- a/packages/godwitway/tests/test_router.py
+++ b/packages/godwitway/tests/test_router.py
@@ -16,6 +16,7 @@
 )
 
 from godwitway.connection import FlowState
+from godwitway.process._answers import Answers
 from godwitway.process._flows import Flows
 from godwitway.process._ownership import Ownership
 from godwitway.process._router import Router
@@ -30,6 +31,7 @@
         self.node = build_node(self.clock)
         self.flows = Flows(self.node)
         self.router = Router(self.node, self.flows)
+        self.answers = Answers(self.node, self.flows, self.router)
         self.ownership = Ownership(self.node, self.flows, self.router)
         self.ownership.apply(snapshot_of(service_document()))
         self.ownership.start(records_may_be_lost=lost)
@@ -48,7 +50,7 @@
         """Let the target of a flow answer its caller."""
         key = flow_key(packet)
         target = self.flows.table[key].owned.ledger.target
-        self.router.shown_answer(
+        self.answers.shown(
             tcp_packet(flags) if packet[9] == 6 else packet, key, Redirect(target=target.id)
         )
 
@@ -121,7 +123,7 @@
                 for key, record in host.flows.table.items()
                 if record.owned is owned and record.counted
             )
-            host.router.shown_answer(udp_packet(), running, Redirect(target=owned.ledger.target.id))
+            host.answers.shown(udp_packet(), running, Redirect(target=owned.ledger.target.id))
         assert owned.ledger.waiting == 0
         assert host.record(waiting).state == FlowState.OPENING
         assert host.forwarded()[-1] == (waiting, owned.ledger.target.address)
