Copy a keyed hash state, and re-route waiting requests in one place

Cause: authenticating a datagram hashed the key's own block each time; a first packet was recognised twice; two copies of a loop over waiting requests.

--- a/packages/godwitway/src/godwitway/process/_door.py
+++ b/packages/godwitway/src/godwitway/process/_door.py
@@ -185,7 +185,7 @@
         if cached is not None and not first:
             self.router.start_cached(packet, key, cached)
             return
-        self.router.start(packet, key, service, kind)
+        self.router.start(packet, key, service, kind, first)
 
     def answer(self, packet: bytes, key: bytes, source: Address) -> None:
         """Pass a backend server's answer to the fabric and show its owner what matters."""
--- a/packages/godwitway/src/godwitway/process/_ownership.py
+++ b/packages/godwitway/src/godwitway/process/_ownership.py
@@ -138,19 +138,22 @@
         owned = self.flows.owned.pop(target_id, None)
         if owned is None:
             return
-        for waiting in owned.ledger.drop_all_waiting():
-            # Never forwarded, so the request may start its way anew.
-            self.flows.table.pop(waiting.key, None)
-            if waiting.record.packet is not None:
-                self.router.start(
-                    waiting.record.packet, waiting.key, owned.ledger.service, waiting.record.kind
-                )
+        self.send_waiting_anew(owned)
         # What was adopted for a zone behind a cut is better known to the zone's own hosts.
         self.flows.drop_adopted(owned, tentative_only=not owned.adopted_zone)
         if target_id in self.node.snapshot.targets:
             self.flows.departing[target_id] = owned
         self.node.journal.event("disown", target=target_id.hex())
 
+    def send_waiting_anew(self, owned: OwnedTarget) -> None:
+        """Let waiting requests, none of which was ever forwarded, start their way anew."""
+        service = owned.ledger.service
+        for waiting in owned.ledger.drop_all_waiting():
+            self.flows.table.pop(waiting.key, None)
+            packet = waiting.record.packet
+            if packet is not None:
+                self.router.start(packet, waiting.key, service, waiting.record.kind, first=True)
+
     def note_drain(self, owned: OwnedTarget, target: Target, now: float) -> None:
         """Note when a target began to drain, or that it does not."""
         if not target.draining:
@@ -196,12 +199,7 @@
     ) -> None:
         """Forget a target that no longer belongs to its service."""
         del table[target_id]
-        for waiting in owned.ledger.drop_all_waiting():
-            self.flows.table.pop(waiting.key, None)
-            if waiting.record.packet is not None:
-                self.router.start(
-                    waiting.record.packet, waiting.key, owned.ledger.service, waiting.record.kind
-                )
+        self.send_waiting_anew(owned)
 
     def drop_foreign_records(self, snapshot: Snapshot) -> None:
         """Drop the records whose target the service no longer has."""
--- a/packages/godwitway/src/godwitway/process/_router.py
+++ b/packages/godwitway/src/godwitway/process/_router.py
@@ -112,15 +112,14 @@
         self.node.metrics.count("unanswered_moved_on", record.kind.name)
         self.try_next(packet, key, record)
 
-    def start(self, packet: bytes, key: bytes, service: Service, kind: Kind) -> None:
+    def start(self, packet: bytes, key: bytes, service: Service, kind: Kind, first: bool) -> None:
         """Ask the first candidate's owner about a packet without a record at this entry."""
         target = service.first_candidate(key)
         if target is None:
             self.ask(packet, key, Redirect(entry=self.node.id), [])
             return
         owned = self.flows.owned.get(target.id)
-        new_here = owned is not None and is_first(packet)
-        if new_here and self.is_surely_new(key, owned, kind):
+        if first and owned is not None and self.is_surely_new(key, owned, kind):
             verdict = self.flows.decide(owned, kind, final=False)
             if verdict == Verdict.TAKE:
                 self.flows.open(key, packet, owned, kind)
--- a/packages/godwitway/src/godwitway/request/_redirect.py
+++ b/packages/godwitway/src/godwitway/request/_redirect.py
@@ -120,26 +120,26 @@
 class Keyring:
     """The keys that authenticate datagrams: the first one signs, all of them verify."""
 
-    __slots__ = ("keys",)
+    __slots__ = ("states",)
 
     def __init__(self, keys: list[bytes]) -> None:
-        self.keys = keys
+        # A copied state saves hashing the key's own block for each datagram.
+        self.states = [hashlib.blake2b(key=key, digest_size=AUTHENTICATOR_BYTES) for key in keys]
 
     def sign(self, data: bytes) -> bytes:
         """Return the authenticator of some bytes."""
-        return digest(data, self.keys[0])
+        state = self.states[0].copy()
+        state.update(data)
+        return state.digest()
 
     def verify(self, data: bytes, authenticator: bytes) -> bool:
         """Return whether an authenticator was made with one of the keys."""
-        # The first key is nearly always the right one, so no generator is made for it.
-        if hmac.compare_digest(digest(data, self.keys[0]), authenticator):
-            return True
-        return any(hmac.compare_digest(digest(data, key), authenticator) for key in self.keys[1:])
-
-
-def digest(data: bytes, key: bytes) -> bytes:
-    """Return the keyed BLAKE2 digest of some bytes."""
-    return hashlib.blake2b(data, key=key, digest_size=AUTHENTICATOR_BYTES).digest()
+        for known in self.states:
+            state = known.copy()
+            state.update(data)
+            if hmac.compare_digest(state.digest(), authenticator):
+                return True
+        return False
 
 
 def encode(redirect: Redirect, body: bytes, keyring: Keyring) -> bytes:
--- a/packages/godwitway/tests/test_router.py
+++ b/packages/godwitway/tests/test_router.py
@@ -19,7 +19,7 @@
 from godwitway.process._answers import Answers
 from godwitway.process._flows import Flows
 from godwitway.process._ownership import Ownership
-from godwitway.process._router import Router
+from godwitway.process._router import Router, is_first
 from godwitway.request import ACK, FIN, RST, SYN, Redirect, flow_key
 
 
@@ -44,7 +44,8 @@
         if key in self.flows.table:
             self.router.receive(packet, key, Redirect(entry=self.node.id))
         else:
-            self.router.start(packet, key, *self.node.snapshot.lookup(key))
+            service, kind = self.node.snapshot.lookup(key)
+            self.router.start(packet, key, service, kind, is_first(packet))
 
     def answer(self, packet: bytes, flags: int) -> None:
         """Let the target of a flow answer its caller."""
