Dispatch the store's operations by type

Cause: the house style asks for singledispatch where behaviour varies; the gateway's client matched on types instead.

--- a/packages/godwitway/src/godwitway/process/_etcd.py
+++ b/packages/godwitway/src/godwitway/process/_etcd.py
@@ -3,6 +3,7 @@
 import base64
 import json
 from collections.abc import AsyncIterator
+from functools import singledispatch
 from typing import Any
 
 import aiohttp
@@ -57,17 +58,33 @@
     )
 
 
+@singledispatch
 def write_operation(operation: Operation) -> dict[str, Any]:
-    """Return an operation of a transaction as the gateway expects it."""
-    key = encode_text(operation.key)
-    match operation:
-        case Put(value=value, lease=lease):
-            put = {"key": key, "value": encode_text(value)}
-            return {"request_put": put | ({"lease": str(lease)} if lease else {})}
-        case Delete():
-            return {"request_delete_range": {"key": key}}
-        case Get():
-            return {"request_range": {"key": key}}
+    """Return an operation of a transaction as the gateway expects it.
+
+    Raises:
+        TypeError: The operation is none that a transaction has.
+    """
+    raise TypeError(f"{type(operation).__name__} is no operation of a transaction")
+
+
+@write_operation.register
+def write_put(operation: Put) -> dict[str, Any]:
+    """Return a put as the gateway expects it."""
+    put = {"key": encode_text(operation.key), "value": encode_text(operation.value)}
+    return {"request_put": put | ({"lease": str(operation.lease)} if operation.lease else {})}
+
+
+@write_operation.register
+def write_delete(operation: Delete) -> dict[str, Any]:
+    """Return a deletion as the gateway expects it."""
+    return {"request_delete_range": {"key": encode_text(operation.key)}}
+
+
+@write_operation.register
+def write_get(operation: Get) -> dict[str, Any]:
+    """Return a read as the gateway expects it."""
+    return {"request_range": {"key": encode_text(operation.key)}}
 
 
 def write_compare(compare: Compare) -> dict[str, Any]:
