--- a/packages/godwitway/src/godwitway/process/_flows.py
+++ b/packages/godwitway/src/godwitway/process/_flows.py
@@ -166,11 +166,14 @@
         self.node.journal.event("adopt", key, target=owned.ledger.target.id.hex())
         self.node.door.send(packet, owned.ledger.target.address)
 
-    def enqueue(self, key: bytes, packet: bytes, owned: OwnedTarget, kind: Kind) -> None:
-        """Let a request wait for a slot."""
+    def enqueue(
+        self, key: bytes, packet: bytes, owned: OwnedTarget, kind: Kind, certain: bool
+    ) -> None:
+        """Let a request wait for a slot; it is refused only if it is certain that it never ran."""
         now = self.node.now()
         record = FlowRecord(owned, kind, FlowState.WAITING, now)
         record.packet = packet
+        record.adopted = not certain
         self.table[key] = record
         self.node.metrics.count("requests_waited", kind.name)
         turned_away = owned.ledger.enqueue(WaitingRequest(key, record, now + kind.wait_s))
@@ -178,10 +181,12 @@
             self.refuse_waiting(turned_away, ErrorKind.NO_CAPACITY)
 
     def refuse_waiting(self, waiting: WaitingRequest, reason: ErrorKind) -> None:
-        """Refuse a request that waited; none of its packets was ever forwarded."""
+        """Refuse a request that waited, unless an earlier owner may have forwarded it."""
         self.table.pop(waiting.key, None)
         packet = waiting.record.packet
-        if packet is not None:
+        if waiting.record.adopted:
+            self.node.drop(ErrorKind.FATE_UNKNOWN, waiting.key)
+        elif packet is not None:
             self.refuse(waiting.key, packet, waiting.record.kind, reason)
 
     def refuse(self, key: bytes, packet: bytes, kind: Kind, reason: ErrorKind) -> None:
--- a/packages/godwitway/src/godwitway/process/_handover.py
+++ b/packages/godwitway/src/godwitway/process/_handover.py
@@ -185,11 +185,14 @@
             self.flows.refused.put(key, True, now)
         for key in message.passed_on:
             self.flows.passed_on.put(key + message.target, now, now)
-        if message.last and owned.previous in (message.sender, None):
+        # An owner that did not wait for the sender has whole records of its own.
+        if message.last and owned.previous == message.sender:
             owned.previous = None
             if message.lost_for is not None:
+                # What was lost last decides how long a repeated packet may turn up.
+                lost_since = now - message.lost_for
+                owned.since = max(owned.since, lost_since) if owned.lost else lost_since
                 owned.lost = True
-                owned.since = min(owned.since, now - message.lost_for)
             self.flows.dispatch(owned)
         ack = HandoverAck(self.node.id, message.target, message.number)
         await self.control.send(ack, message.sender)
--- a/packages/godwitway/src/godwitway/process/_router.py
+++ b/packages/godwitway/src/godwitway/process/_router.py
@@ -351,7 +351,8 @@
         if verdict == Verdict.TAKE:
             self.flows.open(key, packet, owned, kind)
         elif verdict == Verdict.WAIT:
-            self.flows.enqueue(key, packet, owned, kind)
+            certain = is_certainly_new(redirect) or is_fully_asked(redirect)
+            self.flows.enqueue(key, packet, owned, kind, certain)
         else:
             self.refuse_if_certain(packet, key, redirect, kind, ErrorKind.NO_CAPACITY)
 
--- a/packages/godwitway/tests/test_router.py
+++ b/packages/godwitway/tests/test_router.py
@@ -201,6 +201,23 @@
         assert reset.flags == RST | ACK
         assert reset.ack == 101
 
+    def test_a_request_that_may_have_run_waits_without_a_refusal(self):
+        """A bid that waits at the only owner that may have lost it is never refused."""
+        host = OneHost()
+        host.fill_slots()
+        bid = udp_packet()
+        target = host.node.snapshot.services["auction"].candidates(flow_key(bid))[0]
+        host.flows.owned[target.id].lost = True
+        host.clock.time += 0.5
+        for owned in host.flows.owned.values():
+            owned.since = host.clock.time - 2.0
+        host.caller(bid)
+        assert host.record(bid).state == FlowState.WAITING
+        host.clock.time += 1.1
+        host.flows.sweep()
+        assert host.record(bid) is None
+        assert not any(dpkt.ip.IP(data).dst == bytes([172, 16, 0, 1]) for data in host.refusals())
+
     def test_no_refusal_while_records_may_be_lost(self):
         """When an earlier owner may have forwarded the flow, nothing is refused."""
         host = OneHost(lost=True)
