--- a/packages/godwitway/src/godwitway/connection/_record.py
+++ b/packages/godwitway/src/godwitway/connection/_record.py
@@ -18,7 +18,6 @@
     TENTATIVE = 2
     WAITING = 3
     CLOSING = 4
-    REFUSED = 5
 
 
 class FlowRecord:
--- a/packages/godwitway/src/godwitway/process/_flows.py
+++ b/packages/godwitway/src/godwitway/process/_flows.py
@@ -83,10 +83,6 @@
         period = max(NOTE_PERIOD_S, *repeats, 0.0)
         self.passed_on.period = self.refused.period = period
 
-    def owned_target(self, target: bytes) -> OwnedTarget | None:
-        """Return a target that this host owns or is handing over."""
-        return self.owned.get(target) or self.departing.get(target)
-
     def decide(self, owned: OwnedTarget, kind: Kind, final: bool) -> Verdict:
         """Decide whether an owned target takes a new flow now."""
         now = self.node.now()
--- a/packages/godwitway/src/godwitway/process/_ownership.py
+++ b/packages/godwitway/src/godwitway/process/_ownership.py
@@ -108,7 +108,6 @@
             elif change.old == self.node.id:
                 self.give_up(change.target)
         self.refresh_zones()
-        self.repeat_announcements()
 
     def refresh_zones(self) -> None:
         """Note which owned targets are in a zone without a live host."""
@@ -232,12 +231,6 @@
         self.announcements[key] = target.id
         self.node.metrics.count("exceptions_announced")
 
-    def repeat_announcements(self) -> None:
-        """Forget announcements of flows that have ended."""
-        self.announcements = {
-            key: target for key, target in self.announcements.items() if key in self.flows.table
-        }
-
     def merge_flow(
         self, owned: OwnedTarget, key: bytes, kind_name: str, state: int, idle: float
     ) -> None:
