--- a/packages/godwitway/src/godwitway/addresses.py
+++ b/packages/godwitway/src/godwitway/addresses.py
@@ -1,6 +1,5 @@
 """IP addresses with ports, as text, as socket addresses and as packed bytes."""
 
-import ipaddress
 import socket
 import struct
 
@@ -24,7 +23,11 @@
     host, colon, port = text.rpartition(":")
     if not colon or not port.isdecimal() or not 1 <= int(port) <= PORT_MAX:
         raise ValueError(f"{text!r} is not an IPv4 address with a port, such as 10.0.0.1:80")
-    return str(ipaddress.IPv4Address(host)), int(port)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"{host!r} is not an IPv4 address") from None
+    return host, int(port)
 
 
 def format_address(address: Address) -> str:
--- a/packages/godwitway/src/godwitway/checks.py
+++ b/packages/godwitway/src/godwitway/checks.py
@@ -1,11 +1,10 @@
 """Checks of operators' JSON input that report every error at once, each with its field."""
 
-import difflib
-import ipaddress
+import json
+import socket
 from collections.abc import Callable
 from typing import Any
 
-import json5
 from result import Err, Ok, Result
 
 from godwitway.addresses import parse_address
@@ -134,8 +133,8 @@
 def ip_address(value: Any, field: str, checker: Checker) -> Any:
     """Check for an IPv4 address and return it as 4 bytes."""
     try:
-        return ipaddress.IPv4Address(value).packed
-    except ValueError:
+        return socket.inet_pton(socket.AF_INET, value)
+    except (OSError, TypeError):
         checker.report(field, f"expected an IPv4 address, got {describe(value)}")
         return value
 
@@ -189,6 +188,8 @@
     for key in value:
         if key in known:
             continue
+        import difflib  # Costs start-up time that a valid document need not spend.
+
         nearest = difflib.get_close_matches(str(key), known, n=1)
         hint = f"; did you mean {nearest[0]!r}?" if nearest else ""
         checker.report(join(field, str(key)), f"unknown key{hint}")
@@ -211,7 +212,21 @@
     >>> load_jsonc('{"a": 1} // one').ok()
     {'a': 1}
     """
+    try:
+        return Ok(json.loads(document, object_pairs_hook=without_duplicates))
+    except (ValueError, RecursionError):
+        pass  # Not plain JSON; the slower parser takes comments or says what is wrong.
+    import json5  # Costs start-up time that a document without comments need not spend.
+
     try:
         return Ok(json5.loads(document, allow_duplicate_keys=False))
     except (ValueError, RecursionError) as error:
         return Err([Problem(ErrorKind.BAD_JSON, f"not JSON with comments: {error}")])
+
+
+def without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return an object's fields, or raise ValueError when a name occurs twice."""
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        raise ValueError("a name occurs twice in one object")
+    return fields
--- a/packages/godwitway/src/godwitway/errors.py
+++ b/packages/godwitway/src/godwitway/errors.py
@@ -1,8 +1,7 @@
 """The closed list of error kinds and the table from a kind to its answer."""
 
 import enum
-
-import msgspec
+from dataclasses import dataclass
 
 __all__ = ["ANSWERS", "Answer", "ErrorKind", "PacketAnswer", "Problem", "answer_for"]
 
@@ -46,7 +45,8 @@
     REFUSAL = "refusal"
 
 
-class Answer(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Answer:
     """The answer to one kind of error.
 
     Attributes:
@@ -103,7 +103,8 @@
     return ANSWERS[kind]
 
 
-class Problem(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Problem:
     """One error with the field that it concerns.
 
     Attributes:
--- a/packages/godwitway/src/godwitway/process/_journal.py
+++ b/packages/godwitway/src/godwitway/journal.py
@@ -1,24 +1,15 @@
-"""The log of decisions: JSON lines through absl, found by flow."""
+"""The log of decisions: one line for each event, found by flow, with a budget by kind."""
 
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-from absl import logging
-
-from godwitway.request import format_key
-
-__all__ = ["Journal", "write_log_line"]
+__all__ = ["FlowFormat", "Journal", "Sink"]
 
 MAX_LINES_PER_SECOND = 200
 
 Sink = Callable[[dict[str, Any]], None]
-
-
-def write_log_line(line: dict[str, Any]) -> None:
-    """Write a line through absl, as one JSON object."""
-    logging.info("%s", msgspec.json.encode(line).decode())
+FlowFormat = Callable[[bytes], str]
 
 
 class Journal:
@@ -28,15 +19,35 @@
         host: The host's name.
         now: The clock.
         sink: Takes each line.
+        format_flow: Returns a flow's key as text.
+        budget: How many lines of one event are written in a second.
         suppressed: How many lines of each event were left out in this second.
     """
 
-    __slots__ = ("host", "now", "second", "sink", "suppressed", "written")
-
-    def __init__(self, host: str, now: Callable[[], float], sink: Sink = write_log_line) -> None:
+    __slots__ = (
+        "budget",
+        "format_flow",
+        "host",
+        "now",
+        "second",
+        "sink",
+        "suppressed",
+        "written",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        now: Callable[[], float],
+        sink: Sink,
+        format_flow: FlowFormat,
+        budget: int = MAX_LINES_PER_SECOND,
+    ) -> None:
         self.host = host
         self.now = now
         self.sink = sink
+        self.format_flow = format_flow
+        self.budget = budget
         self.second = 0
         self.written: Counter[str] = Counter()
         self.suppressed: Counter[str] = Counter()
@@ -47,14 +58,14 @@
         if int(now) != self.second:
             self.start_second(now)
         self.written[name] += 1
-        if self.written[name] > MAX_LINES_PER_SECOND:
+        if self.written[name] > self.budget:
             self.suppressed[name] += 1
             return
         self.write(now, name, key, fields)
 
     def write(self, now: float, name: str, key: bytes | None, fields: dict[str, Any]) -> None:
         """Write one line."""
-        flow = {} if key is None else {"flow": format_key(key)}
+        flow = {} if key is None else {"flow": self.format_flow(key)}
         self.sink({"t": round(now, 6), "host": self.host, "event": name} | flow | fields)
 
     def start_second(self, now: float) -> None:
--- a/packages/godwitway/src/godwitway/process/_metrics.py
+++ b/packages/godwitway/src/godwitway/metrics.py
@@ -2,11 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, SummaryMetricFamily
-from prometheus_client.registry import Collector
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 __all__ = ["Metrics"]
 
@@ -15,23 +14,26 @@
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 MICROSECONDS = 1_000_000
+UNSETTLED_MAX = 4_096
 
 
-class Metrics(Collector):
+class Metrics:
     """Counters by name and label, gauges, and latency histograms in microseconds.
 
     Attributes:
         counters: Counts by (name, label).
         gauges: Present values by name.
         histograms: Histograms by name.
+        unsettled: Durations that are not yet in a histogram, by name.
     """
 
-    __slots__ = ("counters", "gauges", "histograms")
+    __slots__ = ("counters", "gauges", "histograms", "unsettled")
 
     def __init__(self) -> None:
         self.counters: Counter[tuple[str, str]] = Counter()
         self.gauges: dict[str, float] = {}
         self.histograms: dict[str, HdrHistogram] = {}
+        self.unsettled: dict[str, list[float]] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Add to a counter."""
@@ -39,14 +41,29 @@
 
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds."""
-        histogram = self.histograms.get(name)
-        if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-            self.histograms[name] = histogram
-        histogram.record_value(max(LOWEST_US, int(seconds * MICROSECONDS)))
+        durations = self.unsettled.setdefault(name, [])
+        durations.append(seconds)
+        if len(durations) >= UNSETTLED_MAX:
+            self.settle()
+
+    def settle(self) -> None:
+        """Move recorded durations into the histograms."""
+        if not self.unsettled:
+            return
+        from hdrh.histogram import HdrHistogram  # Not on the way to a host's readiness.
+
+        for name, durations in self.unsettled.items():
+            histogram = self.histograms.get(name)
+            if histogram is None:
+                histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+                self.histograms[name] = histogram
+            for seconds in durations:
+                histogram.record_value(max(LOWEST_US, int(seconds * MICROSECONDS)))
+        self.unsettled.clear()
 
     def percentiles(self) -> dict[str, dict[str, float]]:
         """Return the percentiles of each histogram in seconds."""
+        self.settle()
         return {
             name: {
                 f"p{percentile:g}": histogram.get_value_at_percentile(percentile) / MICROSECONDS
@@ -70,6 +87,13 @@
 
     def collect(self) -> Iterator[object]:
         """Yield the metrics for the text exposition."""
+        from prometheus_client.core import (  # Not on the way to a host's readiness.
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            SummaryMetricFamily,
+        )
+
+        self.settle()
         families: dict[str, CounterMetricFamily] = {}
         for (name, label), value in sorted(self.counters.items()):
             family = families.setdefault(
@@ -89,6 +113,8 @@
 
     def exposition(self) -> bytes:
         """Return the metrics in the usual text exposition format."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
         registry = CollectorRegistry()
         registry.register(self)
         return generate_latest(registry)
--- a/packages/godwitway/src/godwitway/process/__init__.py
+++ b/packages/godwitway/src/godwitway/process/__init__.py
@@ -6,12 +6,12 @@
 from godwitway.process._courier import Courier, NngCourier
 from godwitway.process._etcd import EtcdStore
 from godwitway.process._host import Host, Links
-from godwitway.process._journal import Journal
-from godwitway.process._metrics import Metrics
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
 from godwitway.process._ports import DatagramPort, UdpPort, batches
 from godwitway.process._reports import EndpointReport, HealthSource, HttpHealth
 from godwitway.process._settings import ApiSettings, Settings, check_settings, read_settings
-from godwitway.process._store import (
+from godwitway.store import (
     CompactedError,
     Compare,
     Delete,
--- a/packages/godwitway/src/godwitway/process/_api.py
+++ b/packages/godwitway/src/godwitway/process/_api.py
@@ -15,7 +15,7 @@
 from godwitway.process._dump import dump, status
 from godwitway.process._host import Host
 from godwitway.process._settings import ApiSettings
-from godwitway.process._store import StoreError
+from godwitway.store import StoreError
 from godwitway.process._writes import Outcome
 from godwitway.version import Service, Snapshot, check_service
 
--- a/packages/godwitway/src/godwitway/process/_etcd.py
+++ b/packages/godwitway/src/godwitway/process/_etcd.py
@@ -9,8 +9,8 @@
 import aiohttp
 
 from godwitway.addresses import Address, format_address
-from godwitway.process._metrics import Metrics
-from godwitway.process._store import (
+from godwitway.metrics import Metrics
+from godwitway.store import (
     CompactedError,
     Compare,
     Delete,
--- a/packages/godwitway/src/godwitway/process/_host.py
+++ b/packages/godwitway/src/godwitway/process/_host.py
@@ -15,7 +15,7 @@
 from godwitway.process._door import Door
 from godwitway.process._flows import Flows
 from godwitway.process._handover import Handover
-from godwitway.process._journal import Journal, Sink, write_log_line
+from godwitway.journal import Journal, Sink
 from godwitway.process._member import Member, MemberState
 from godwitway.process._membership import Membership
 from godwitway.process._messages import (
@@ -30,16 +30,17 @@
     StateReply,
     StateRequest,
 )
-from godwitway.process._metrics import Metrics
+from godwitway.metrics import Metrics
+from godwitway.process._log_sink import write_log_line
 from godwitway.process._node import Node
 from godwitway.process._ownership import Ownership
 from godwitway.process._ports import DatagramPort
 from godwitway.process._reports import HealthSource, Reports
 from godwitway.process._router import Router
 from godwitway.process._settings import Settings
-from godwitway.process._store import Store
+from godwitway.store import Store
 from godwitway.process._writes import Writes
-from godwitway.request import Keyring
+from godwitway.request import Keyring, format_key
 
 __all__ = ["Host", "Links"]
 
@@ -99,7 +100,7 @@
             courier=links.courier,
             keyring=Keyring(settings.keys),
             metrics=metrics or Metrics(),
-            journal=Journal(settings.name, clock.now, sink),
+            journal=Journal(settings.name, clock.now, sink, format_key),
             boot=rng.getrandbits(BOOT_BITS),
         )
         self.flows = Flows(self.node)
--- a/packages/godwitway/src/godwitway/process/_node.py
+++ b/packages/godwitway/src/godwitway/process/_node.py
@@ -13,9 +13,9 @@
 from godwitway.process._clock import Clock
 from godwitway.process._courier import Courier
 from godwitway.process._directory import Directory
-from godwitway.process._journal import Journal
+from godwitway.journal import Journal
 from godwitway.process._member import Member, MemberState
-from godwitway.process._metrics import Metrics
+from godwitway.metrics import Metrics
 from godwitway.process._ports import DatagramPort
 from godwitway.process._settings import Settings
 from godwitway.request import Keyring, Redirect, encode
--- a/packages/godwitway/src/godwitway/process/_writes.py
+++ b/packages/godwitway/src/godwitway/process/_writes.py
@@ -9,7 +9,7 @@
 from godwitway.errors import ErrorKind, Problem
 from godwitway.process._clock import Clock
 from godwitway.process._config import MARKER, SERVICES_PREFIX
-from godwitway.process._store import (
+from godwitway.store import (
     Compare,
     Delete,
     Get,
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_evidence.py
@@ -0,0 +1,89 @@
+"""What callers' packets and health checks say about whether a target is reachable and alive."""
+
+__all__ = ["TargetEvidence"]
+
+STALLED_FLOWS = 2  # One flow may have lost packets by itself; several at one target have not.
+STALL_VALID_S = 1.5  # The longest pause between two retransmissions of a caller.
+PROBE_VALID_S = 3.0
+PEER_VALID_S = 1.0  # Peers repeat a suspicion several times a second while it lasts.
+
+
+class TargetEvidence:
+    """Evidence about one target.
+
+    Attributes:
+        progress_at: When a caller last showed bytes from this target, in seconds.
+        stalls: When each flow last repeated a packet without progress since then.
+        suspected_since: Since when this host itself suspects the target, or None.
+        peer_suspected_at: When a host of the same zone last said that it suspects the target.
+        probe_failed_at: When a health check last got no answer.
+        probing: Whether a health check is under way.
+        probed_at: When the last health check began.
+        unhealthy: Whether the last health check was answered with a failure.
+    """
+
+    __slots__ = (
+        "peer_suspected_at",
+        "probe_failed_at",
+        "probed_at",
+        "probing",
+        "progress_at",
+        "stalls",
+        "suspected_since",
+        "unhealthy",
+    )
+
+    def __init__(self) -> None:
+        self.progress_at = 0.0
+        self.stalls: dict[bytes, float] = {}
+        self.suspected_since: float | None = None
+        self.peer_suspected_at = -PEER_VALID_S
+        self.probe_failed_at = -PROBE_VALID_S
+        self.probing = False
+        self.probed_at = -PROBE_VALID_S
+        self.unhealthy = False
+
+    def progressed(self, now: float) -> bool:
+        """Take note of progress; returns whether it ended a suspicion."""
+        self.progress_at = now
+        if self.stalls:
+            self.stalls.clear()
+        if self.suspected_since is None:
+            return False
+        self.suspected_since = None
+        return True
+
+    def stalled(self, flow: bytes, now: float) -> bool:
+        """Take note of a repeated packet; returns whether it begins a suspicion."""
+        stalls = self.stalls
+        stalls[flow] = now
+        if self.suspected_since is not None or len(stalls) < STALLED_FLOWS:
+            return False
+        valid = [key for key, at in stalls.items() if now - at <= STALL_VALID_S]
+        if len(valid) < STALLED_FLOWS:
+            self.stalls = {key: stalls[key] for key in valid}
+            return False
+        return self.suspect(now)
+
+    def suspect(self, now: float) -> bool:
+        """Begin a suspicion; returns whether there was none."""
+        if self.suspected_since is not None:
+            return False
+        self.suspected_since = now
+        return True
+
+    def clear(self) -> None:
+        """Drop all evidence, as after a pause of this process."""
+        self.stalls.clear()
+        self.suspected_since = None
+        self.peer_suspected_at = -PEER_VALID_S
+        self.unhealthy = False
+
+    def suspected(self, now: float) -> bool:
+        """Whether the target takes no new flows while others can."""
+        if self.suspected_since is not None:
+            return True
+        return (
+            now - self.peer_suspected_at < PEER_VALID_S
+            and self.progress_at < self.peer_suspected_at
+        )
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -0,0 +1,218 @@
+"""The other hosts: how they are found, what they report, and what this host reports to them."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+from godwitway.addresses import Address, format_address, parse_address
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
+from godwitway.steering._feed import FleetStore
+from godwitway.steering._loads import PeerLoads, Report, decode_report, encode_report
+from godwitway.steering._model import Target
+from godwitway.steering._steering import Steering
+from godwitway.store import KeyValue, StoreError
+
+__all__ = ["HOSTS_PREFIX", "Member", "Peers", "keep_registered"]
+
+HOSTS_PREFIX = "hosts/"
+LEASE_S = 60.0
+RENEW_S = 20.0  # A third of the lease, so that one lost call does not end it.
+RETRY_S = 1.0
+REPORT_S = 0.1  # Slower reports let bursts pile up at one target: p99 485 ms at 0.25 s.
+REFRESH_TICKS = 5  # An unchanged host is heard twice a second.
+REPEAT_TICKS = 2  # A lost report is made up for by the next one.
+FORGET_S = 30.0
+SMALL_FLEET = 16  # Up to this size all hosts report to each other, beyond it only a zone's.
+
+
+class Member:
+    """A host as it is registered in the store."""
+
+    __slots__ = ("address", "name", "zone")
+
+    def __init__(self, name: str, zone: str, address: Address) -> None:
+        self.name = name
+        self.zone = zone
+        self.address = address
+
+    def item(self) -> KeyValue:
+        """Return the key and value that register the host."""
+        value = json.dumps({"address": format_address(self.address)}).encode()
+        return KeyValue(f"{HOSTS_PREFIX}{self.zone}/{self.name}", value, 0)
+
+
+def member_of(item: KeyValue) -> Member | None:
+    """Return the host that a key registers, or None when it cannot be read."""
+    try:
+        zone, name = item.key.removeprefix(HOSTS_PREFIX).split("/", 1)
+        return Member(name, zone, parse_address(json.loads(item.value)["address"]))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+class Peers:
+    """What is known of the other hosts.
+
+    Attributes:
+        own: This host.
+        boot: A random number of this process.
+        by_address: Peers by the address of their reports.
+        zones: The zone of each peer that is registered.
+        send: Sends a datagram to a peer.
+        on_behind: Called with a peer that knows of newer changes than this host.
+        revisions: Returns the configuration's version and both revisions of this host.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        steering: Steering,
+        send: Callable[[bytes, Address], None],
+        revisions: Callable[[], tuple[int, int, int]],
+        rng: random.Random,
+        metrics: Metrics,
+        journal: Journal,
+    ) -> None:
+        self.own = own
+        self.boot = rng.getrandbits(32)
+        self.steering = steering
+        self.send = send
+        self.revisions = revisions
+        self.metrics = metrics
+        self.journal = journal
+        self.by_address: dict[Address, PeerLoads] = {}
+        self.zones: dict[Address, str] = {}
+        self.on_behind: Callable[[PeerLoads], None] = lambda peer: None
+        self.leaving = False
+        self.recent: list[set[str]] = [set()] * REPEAT_TICKS
+        self.tick = 0
+
+    def learn_members(self, items: list[KeyValue]) -> None:
+        """Add the hosts that are registered in the store."""
+        for item in items:
+            member = member_of(item)
+            if member is None:
+                self.journal.event("entry_rejected", key=item.key, reason="not a host")
+            elif member.name != self.own.name:
+                self.zones[member.address] = member.zone
+                self.by_address.setdefault(member.address, PeerLoads(member.address))
+
+    def listeners(self) -> list[Address]:
+        """Return the hosts that this one reports to."""
+        if len(self.by_address) < SMALL_FLEET:
+            return list(self.by_address)
+        return [
+            address
+            for address in self.by_address
+            if self.zones.get(address, self.own.zone) == self.own.zone
+        ]
+
+    def report(self) -> None:
+        """Tell the other hosts what changed; called every `REPORT_S`."""
+        self.tick += 1
+        table = self.steering.table
+        refresh = self.tick % REFRESH_TICKS == 0
+        changed, table.changed = table.changed, set()
+        self.recent = [changed, *self.recent[:-1]]
+        told = set(table.loads) if refresh else set().union(*self.recent)
+        if not told and not refresh:
+            return
+        version, config_revision, targets_revision = self.revisions()
+        loads = [entry for target_id in told if (entry := self.entry(target_id)) is not None]
+        report = Report(
+            self.boot, version, config_revision, targets_revision, self.leaving, loads
+        )
+        for datagram in encode_report(report):
+            for address in self.listeners():
+                self.send(datagram, address)
+
+    def entry(self, target_id: str) -> tuple[int, int, int, bool] | None:
+        """Return what this host says of a target."""
+        target = self.steering.catalog.targets.get(target_id)
+        if target is None:
+            self.steering.table.loads.pop(target_id, None)
+            return None
+        load = self.steering.table.load_of(target)
+        evidence = self.steering.evidence.get(target_id)
+        suspected = evidence is not None and evidence.suspected_since is not None
+        return target.token, load.busy, load.idle, suspected
+
+    def take(self, datagram: bytes, source: Address) -> None:
+        """Take over a peer's report."""
+        report = decode_report(datagram)
+        if report is None:
+            self.metrics.count("reports_rejected")
+            return
+        if report.boot == self.boot:
+            return
+        now = self.steering.now()
+        peer = self.by_address.get(source)
+        if peer is None:
+            peer = self.by_address[source] = PeerLoads(source)
+        if peer.boot != report.boot:
+            peer.boot = report.boot
+            peer.loads.clear()
+            self.journal.event("peer_heard", peer=format_address(source), boot=report.boot)
+        peer.heard_at = now
+        peer.config_version = report.config_version
+        peer.config_revision = report.config_revision
+        peer.targets_revision = report.targets_revision
+        in_zone = self.zones.get(source) == self.own.zone
+        for token, busy, idle, suspected in report.loads:
+            peer.loads[token] = (busy, idle)
+            if suspected and in_zone:
+                self.suspected_by_peer(token, now)
+        _, config_revision, targets_revision = self.revisions()
+        if peer.config_revision > config_revision or peer.targets_revision > targets_revision:
+            self.on_behind(peer)
+
+    def suspected_by_peer(self, token: int, now: float) -> None:
+        """Take note that a host of the same zone suspects a target."""
+        target = self.steering.catalog.by_token.get(token)
+        if target is not None:
+            self.steering.evidence_of(target).peer_suspected_at = now
+
+    def loads_at(self, target: Target) -> tuple[int, int]:
+        """Return the requests in progress and idle flows that live peers see at a target."""
+        now = self.steering.now()
+        busy = idle = 0
+        for peer in self.by_address.values():
+            load = peer.loads.get(target.token)
+            if load is not None and peer.alive(now):
+                busy += load[0]
+                idle += load[1]
+        return busy, idle
+
+    def forget_silent(self, now: float) -> None:
+        """Drop peers that were not heard for a while."""
+        for address, peer in list(self.by_address.items()):
+            if peer.heard_at is not None and now - peer.heard_at > FORGET_S:
+                del self.by_address[address]
+                self.zones.pop(address, None)
+                self.journal.event("peer_forgotten", peer=format_address(address))
+
+    async def run(self) -> None:
+        """Report for as long as the process lives."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            self.report()
+
+
+async def keep_registered(
+    store: FleetStore, member: Member, journal: Journal, metrics: Metrics
+) -> None:
+    """Keep a host's key in the store for as long as the process lives."""
+    lease = 0
+    while True:
+        try:
+            if not lease or not await store.keep(lease):
+                lease = await store.grant(LEASE_S)
+                await store.put(member.item(), lease)
+                journal.event("registered", lease=lease)
+            await asyncio.sleep(RENEW_S)
+        except StoreError as error:
+            metrics.count("store_errors", HOSTS_PREFIX)
+            journal.event("registration_failed", reason=str(error))
+            await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -0,0 +1,92 @@
+"""Health checks of targets whose flows make no progress."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from godwitway.steering._evidence import TargetEvidence
+from godwitway.steering._model import Target
+from godwitway.steering._steering import Steering
+
+__all__ = ["Probe", "Probes"]
+
+PROBE_TIMEOUT_S = 0.25  # Several round trips between zones.
+PROBE_PAUSE_S = 1.0  # Health checks are priced and take a slot.
+DOUBT_S = 0.3  # A target that just answered other callers is not dead.
+
+Probe = Callable[[Target, str, float], Awaitable[bool | None]]
+
+
+class Probes:
+    """Asks a target's health endpoint when callers' packets cast doubt on it.
+
+    Attributes:
+        steering: Whose evidence is completed.
+        probe: Asks an endpoint: True, False, or None for no answer.
+        spawn: Runs a background job.
+    """
+
+    def __init__(
+        self, steering: Steering, probe: Probe, spawn: Callable[[Awaitable[None]], None]
+    ) -> None:
+        self.steering = steering
+        self.probe = probe
+        self.spawn = spawn
+        steering.on_stall = self.on_stall
+
+    def on_stall(self, target: Target) -> None:
+        """Begin a health check unless the target made progress or was asked lately."""
+        now = self.steering.now()
+        evidence = self.steering.evidence_of(target)
+        if evidence.probing or now - evidence.probed_at < PROBE_PAUSE_S:
+            return
+        if now - evidence.progress_at < DOUBT_S:
+            return
+        self.begin(target, evidence, now)
+
+    def begin(self, target: Target, evidence: TargetEvidence, now: float) -> None:
+        """Begin a health check."""
+        evidence.probing = True
+        evidence.probed_at = now
+        self.spawn(self.check(target, evidence, now))
+
+    async def check(self, target: Target, evidence: TargetEvidence, began: float) -> None:
+        """Ask a target and take note of the answer."""
+        steering = self.steering
+        config = steering.catalog.config
+        terms = config.services.get(target.service) if config else None
+        try:
+            healthy = None
+            if terms is not None:
+                healthy = await self.probe(target, terms.health_path, PROBE_TIMEOUT_S)
+        finally:
+            evidence.probing = False
+        now = steering.now()
+        steering.metrics.count("probes", str(healthy))
+        steering.journal.event(
+            "probe", target=target.id, healthy=healthy, took_s=round(now - began, 4)
+        )
+        if healthy is None:
+            evidence.probe_failed_at = now
+            if evidence.progress_at < began and evidence.suspect(now):
+                steering.note_suspicion(target, "probe_failed", now)
+        else:
+            self.answered(target, evidence, healthy)
+
+    def answered(self, target: Target, evidence: TargetEvidence, healthy: bool) -> None:
+        """Trust a target again whose endpoint answered."""
+        evidence.stalls.clear()
+        evidence.unhealthy = not healthy
+        if evidence.suspected_since is not None:
+            evidence.suspected_since = None
+            self.steering.table.changed.add(target.id)
+            self.steering.journal.event("target_trusted", target=target.id, reason="probe")
+
+    def ask_suspected(self) -> None:
+        """Ask suspected targets again; called twice a second."""
+        now = self.steering.now()
+        for target_id, evidence in self.steering.evidence.items():
+            target = self.steering.catalog.targets.get(target_id)
+            if target is None or evidence.suspected_since is None or evidence.probing:
+                continue
+            if now - evidence.probed_at >= PROBE_PAUSE_S:
+                self.begin(target, evidence, now)
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_settings.py
@@ -0,0 +1,76 @@
+"""The settings of a steering host, read from JSON with comments and checked whole."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from result import Err, Result
+
+from godwitway.addresses import Address
+from godwitway.checks import Checker, Field, address, list_of, load_jsonc, number, object_of, text
+from godwitway.errors import ErrorKind, Problem
+
+__all__ = ["SteeringSettings", "check_steering_settings", "read_steering_settings"]
+
+DEFAULT_STOP_BOUND_S = 6.0
+
+
+@dataclass(slots=True)
+class SteeringSettings:
+    """The settings of one host on the platform.
+
+    Attributes:
+        name: The host's name.
+        zone: Its availability zone.
+        packets: Where callers' packets arrive.
+        ready: Where the platform asks whether the host is ready.
+        control: Where state, metrics and snapshots are served.
+        peer: Where reports of other hosts arrive.
+        store: The platform's store.
+        seeds: Control addresses of some other hosts.
+        stop_bound_s: The longest time in seconds that a planned stop takes.
+    """
+
+    name: str
+    zone: str
+    packets: Address
+    ready: Address
+    control: Address
+    peer: Address
+    store: Address
+    seeds: list[Address]
+    stop_bound_s: float
+
+
+CHECK_SETTINGS = object_of(
+    SteeringSettings,
+    [
+        Field("name", text),
+        Field("zone", text),
+        Field("packets", address),
+        Field("ready", address),
+        Field("control", address),
+        Field("peer", address),
+        Field("store", address),
+        Field("seeds", list_of(address), list),
+        Field("stop_bound_s", number(0, 3600), DEFAULT_STOP_BOUND_S),
+    ],
+)
+
+
+def check_steering_settings(document: str) -> Result[SteeringSettings, list[Problem]]:
+    """Check a settings document and report every error in it at once."""
+    parsed = load_jsonc(document)
+    if parsed.is_err():
+        return parsed
+    checker = Checker()
+    settings = CHECK_SETTINGS(parsed.unwrap(), "", checker)
+    return checker.result(settings)
+
+
+def read_steering_settings(path: Path) -> Result[SteeringSettings, list[Problem]]:
+    """Read and check a settings file."""
+    try:
+        document = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Problem(ErrorKind.BAD_JSON, f"cannot read {path}: {error}")])
+    return check_steering_settings(document)
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -0,0 +1,299 @@
+"""The decision about each packet of a caller: forward it, reset its flow, or stay silent."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
+from godwitway.steering._catalog import Catalog
+from godwitway.steering._evidence import TargetEvidence
+from godwitway.steering._flows import FlowTable, SeenFlow, advances, is_after
+from godwitway.steering._model import FlowPacket, RequestKind, Route, Target
+from godwitway.steering._placement import LoadView, choose_service, choose_target
+
+__all__ = ["CallerPort", "Steering"]
+
+STALL_S = 0.15  # Less than the 200 ms after which callers repeat a packet.
+
+
+class CallerPort(Protocol):
+    """Sends packets on and answers callers."""
+
+    def forward(self, packet: FlowPacket, target: Target) -> None:
+        """Send a packet to a target, with the target's route token."""
+
+    def refuse(self, packet: FlowPacket) -> None:
+        """Send the caller a reset."""
+
+    def request_id(self, packet: FlowPacket) -> str:
+        """Return the id of the request that a packet begins, or an empty string."""
+
+
+class Steering:
+    """Decides about packets with what this host knows.
+
+    Attributes:
+        port: Sends packets.
+        catalog: The configuration and targets.
+        table: The flows that this host sees.
+        evidence: What is known of targets' reachability, by id.
+        peer_loads: Returns requests in progress and idle flows that peers see at a target.
+        zone: This host's availability zone.
+        now: The process's clock in seconds.
+        metrics: Counters.
+        journal: The log of decisions.
+        ready: Whether configuration and targets are known.
+        on_stall: Called with a target that a flow makes no progress at.
+        last_packet_at: When the last packet of a caller came.
+    """
+
+    def __init__(
+        self,
+        port: CallerPort,
+        catalog: Catalog,
+        zone: str,
+        now: Callable[[], float],
+        rng: random.Random,
+        metrics: Metrics,
+        journal: Journal,
+    ) -> None:
+        self.port = port
+        self.catalog = catalog
+        self.zone = zone
+        self.now = now
+        self.rng = rng
+        self.metrics = metrics
+        self.journal = journal
+        self.table = FlowTable()
+        self.evidence: dict[str, TargetEvidence] = {}
+        self.peer_loads: Callable[[Target], tuple[int, int]] = lambda target: (0, 0)
+        self.on_stall: Callable[[Target], None] = lambda target: None
+        self.ready = False
+        self.last_packet_at = now()
+
+    def take(self, packet: FlowPacket) -> None:
+        """Decide about one packet."""
+        now = self.last_packet_at = self.now()
+        if packet.forged:
+            self.metrics.count("packets_dropped", "forged")
+            return
+        if self.catalog.config is None:
+            self.metrics.count("packets_dropped", "no_configuration")
+            return
+        route = self.catalog.routes.get(packet.service_address)
+        if route is None:
+            self.refuse(packet, "no_route", now)
+        elif packet.opening:
+            self.open(packet, route, now)
+        else:
+            self.go_on(packet, route, now)
+
+    def open(self, packet: FlowPacket, route: Route, now: float) -> None:
+        """Place a new flow, or place it elsewhere when its first packet comes again."""
+        flow = self.table.flows.get(packet.flow)
+        if flow is not None and flow.opened and not flow.closed:
+            self.port.forward(packet, flow.target)
+            return
+        if not self.ready:
+            self.metrics.count("packets_dropped", "not_ready")
+            return
+        tried: list[str] = []
+        if flow is not None and not flow.opened and not flow.closed:
+            if now - flow.touched < STALL_S:
+                self.port.forward(packet, flow.target)  # A copy that the network made.
+                return
+            self.stall(flow, packet.flow, now)
+            tried = flow.tried
+        target = self.place(route, tried, now)
+        if target is None:
+            self.refuse(packet, "no_target", now)
+            return
+        if tried:
+            self.table.move(flow, target)
+            flow.tried.append(target.id)
+            flow.touched = now
+        else:
+            self.table.add(packet.flow, SeenFlow(target, route, now))
+        self.metrics.count("flows_placed", "again" if tried else "first")
+        load = self.view(target)
+        self.journal.event(
+            "place",
+            packet.flow,
+            route=route.name,
+            target=target.id,
+            busy=load.busy,
+            idle=load.idle,
+            tried=len(tried),
+            version=self.catalog.config.version,
+        )
+        self.port.forward(packet, target)
+
+    def place(self, route: Route, tried: list[str], now: float) -> Target | None:
+        """Choose a target for a new flow of a route."""
+        service = choose_service(route.shares, self.rng)
+        present = self.catalog.by_service.get(service, [])
+        fit = [target for target in present if not target.draining]
+        untried = [target for target in fit if target.id not in tried] or fit
+        return choose_target(
+            untried,
+            self.view,
+            lambda target: self.suspected(target, now),
+            self.zone,
+            now,
+            self.rng,
+        )
+
+    def view(self, target: Target) -> LoadView:
+        """Return a target's load from this host's and its peers' flows."""
+        own = self.table.loads.get(target.id)
+        busy, idle = self.peer_loads(target)
+        return LoadView(busy + own.busy, idle + own.idle) if own else LoadView(busy, idle)
+
+    def suspected(self, target: Target, now: float) -> bool:
+        """Whether a target is thought to be unreachable."""
+        evidence = self.evidence.get(target.id)
+        return evidence is not None and evidence.suspected(now)
+
+    def evidence_of(self, target: Target) -> TargetEvidence:
+        """Return the evidence about a target."""
+        evidence = self.evidence.get(target.id)
+        if evidence is None:
+            evidence = self.evidence[target.id] = TargetEvidence()
+        return evidence
+
+    def go_on(self, packet: FlowPacket, route: Route, now: float) -> None:
+        """Handle a later packet of a flow by its record, else by its route token."""
+        flow = self.table.flows.get(packet.flow)
+        if flow is not None and flow.opened:
+            target = flow.target
+        else:
+            target = self.catalog.by_token.get(packet.token)
+            if target is None or not self.catalog.allowed(route, target):
+                self.metrics.count("packets_dropped", "no_token")
+                return
+            flow = self.opened(packet, flow, route, target, now)
+        flow.touched = now
+        if target.id in self.catalog.departed:
+            self.refuse(packet, "target_left", now, target)
+            self.table.remove(packet.flow)
+            return
+        if packet.reset:
+            self.table.remove(packet.flow)
+        elif not self.measure(packet, flow, now):
+            self.refuse(packet, "target_unreachable", now, target)
+            self.table.remove(packet.flow)
+            return
+        self.port.forward(packet, target)
+
+    def opened(
+        self,
+        packet: FlowPacket,
+        flow: SeenFlow | None,
+        route: Route,
+        target: Target,
+        now: float,
+    ) -> SeenFlow:
+        """Take note that a caller answered a target's handshake."""
+        if flow is None:
+            flow = SeenFlow(target, route, now)
+            flow.waiting_since = None
+            flow.opened = True
+            self.table.add(packet.flow, flow)
+            return flow
+        if flow.target.id != target.id:
+            self.table.move(flow, target)
+        flow.opened = True
+        self.progressed(target, now)
+        return flow
+
+    def measure(self, packet: FlowPacket, flow: SeenFlow, now: float) -> bool:
+        """Learn from a packet; returns False when the flow should be tried elsewhere."""
+        if advances(flow, packet):
+            if flow.acknowledged is not None:
+                self.progressed(flow.target, now)
+                flow.stalled = 0
+                if flow.waiting_since is not None:
+                    self.metrics.observe("first_byte", now - flow.waiting_since)
+                    self.table.set_waiting(flow, None)
+            flow.acknowledged = packet.acknowledged
+        if packet.length:
+            end = (packet.sequence + packet.length) % (1 << 32)
+            if flow.sent_end is None or is_after(end, flow.sent_end):
+                flow.sent_end = end
+                if flow.waiting_since is None or not flow.requests:
+                    self.begin_request(packet, flow, now)
+            else:
+                self.stall(flow, packet.flow, now)
+            if self.give_up(flow, now):
+                return False
+        if packet.closing and not flow.closed:
+            self.table.close(flow)
+        return True
+
+    def begin_request(self, packet: FlowPacket, flow: SeenFlow, now: float) -> None:
+        """Take note of a new request on a flow."""
+        flow.requests += 1
+        if flow.waiting_since is None:
+            self.table.set_waiting(flow, now)
+        self.metrics.count("requests_forwarded", flow.route.kind.value)
+        request = self.port.request_id(packet)
+        if request:
+            self.journal.event(
+                "request",
+                packet.flow,
+                request=request,
+                target=flow.target.id,
+                version=self.catalog.config.version,
+            )
+
+    def give_up(self, flow: SeenFlow, now: float) -> bool:
+        """Whether a flow's request is better sent to another target by its caller."""
+        if flow.route.kind is RequestKind.AT_MOST_ONCE or flow.closed:
+            return False
+        return self.suspected(flow.target, now)
+
+    def stall(self, flow: SeenFlow, key: bytes, now: float) -> None:
+        """Take note that a caller repeated a packet that its target did not acknowledge."""
+        flow.stalled += 1
+        self.metrics.count("packets_repeated")
+        evidence = self.evidence_of(flow.target)
+        if evidence.stalled(key, now):
+            self.note_suspicion(flow.target, "stalled_flows", now)
+        self.on_stall(flow.target)
+
+    def note_suspicion(self, target: Target, reason: str, now: float) -> None:
+        """Log that this host begins to suspect a target."""
+        evidence = self.evidence_of(target)
+        self.table.changed.add(target.id)
+        self.metrics.count("targets_suspected", reason)
+        self.journal.event(
+            "target_suspected",
+            target=target.id,
+            reason=reason,
+            flows=len(evidence.stalls),
+            progress_age_s=round(now - evidence.progress_at, 3),
+        )
+
+    def progressed(self, target: Target, now: float) -> None:
+        """Take note that a target answered a caller."""
+        if self.evidence_of(target).progressed(now):
+            self.table.changed.add(target.id)
+            self.journal.event("target_trusted", target=target.id, reason="progress")
+
+    def refuse(
+        self, packet: FlowPacket, reason: str, now: float, target: Target | None = None
+    ) -> None:
+        """Reset a caller's flow."""
+        self.metrics.count("flows_reset", reason)
+        if packet.reset:
+            return
+        self.journal.event(
+            "reset",
+            packet.flow,
+            reason=reason,
+            target=target.id if target else None,
+            version=self.catalog.config.version,
+            opening=packet.opening,
+        )
+        self.port.refuse(packet)
--- a/packages/godwitway/src/godwitway/process/_store.py
+++ b/packages/godwitway/src/godwitway/store.py
@@ -1,10 +1,9 @@
 """The platform's key-value service as this system uses it."""
 
 from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
 from typing import Protocol
 
-import msgspec
-
 __all__ = [
     "CompactedError",
     "Compare",
@@ -28,7 +27,8 @@
     """Raised when a watch asks for revisions that the store no longer has."""
 
 
-class KeyValue(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class KeyValue:
     """One key with its value and the revision of its last change."""
 
     key: str
@@ -36,14 +36,16 @@
     mod_revision: int
 
 
-class Compare(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Compare:
     """Demands that a key was last changed at a revision; 0 for a key that does not exist."""
 
     key: str
     mod_revision: int
 
 
-class Put(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Put:
     """Writes a key, optionally bound to a lease."""
 
     key: str
@@ -51,34 +53,39 @@
     lease: int = 0
 
 
-class Delete(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Delete:
     """Deletes a key."""
 
     key: str
 
 
-class Get(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class Get:
     """Reads a key."""
 
     key: str
 
 
-class TxnResult(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class TxnResult:
     """The outcome of a transaction: whether the compares held, and what was read."""
 
     succeeded: bool
     revision: int
-    found: list[KeyValue] = []
+    found: list[KeyValue] = field(default_factory=list)
 
 
-class RangeResult(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class RangeResult:
     """All keys under a prefix, at one revision."""
 
     revision: int
     items: list[KeyValue]
 
 
-class WatchEvent(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
     """One change of a key; the value is None when it was deleted."""
 
     key: str
--- a/packages/godwitway/tests/builders.py
+++ b/packages/godwitway/tests/builders.py
@@ -10,7 +10,7 @@
 from godwitway.connection import Ledger, OwnedTarget
 from godwitway.process import ApiSettings, Journal, Metrics, Settings
 from godwitway.process._node import Node
-from godwitway.request import Keyring
+from godwitway.request import Keyring, format_key
 from godwitway.version import EMPTY, Service, Snapshot, build_snapshot, check_service
 
 KEY = bytes(range(32))
@@ -188,5 +188,5 @@
         courier=SilentCourier(),
         keyring=Keyring(settings.keys),
         metrics=Metrics(),
-        journal=Journal("entry-1", clock.now, lines.append),
+        journal=Journal("entry-1", clock.now, lines.append, format_key),
     )
