Count a packet as repeated only when it cannot have been overtaken

Cause: packets of one request overtake each other within some milliseconds; the table took the late one for a retransmission, two of them made a living target suspect, and its flows were reset. Ruled out by logs: entries that lapsed (none at the time), load (targets answered within 1 ms).

--- a/packages/godwitway/src/godwitway/steering/_flows.py
+++ b/packages/godwitway/src/godwitway/steering/_flows.py
@@ -47,6 +47,7 @@
         closed: Whether the caller has nothing more to send.
         waiting_since: When the request in progress was first sent on, or None.
         sent_end: The end of the caller's data that was sent on.
+        sent_at: When data was last sent on that was new, or repeated after a while.
         acknowledged: The last byte that the caller acknowledged.
         stalled: How many packets came again without progress.
         requests: How many requests were sent on.
@@ -62,6 +63,7 @@
         "opened",
         "requests",
         "route",
+        "sent_at",
         "sent_end",
         "stalled",
         "target",
@@ -77,6 +79,7 @@
         self.closed = False
         self.waiting_since: float | None = now
         self.sent_end: int | None = None
+        self.sent_at = now
         self.acknowledged: int | None = None
         self.stalled = 0
         self.requests = 0
@@ -159,6 +162,10 @@
         ]
         for key in expired:
             self.remove(key)
+        # A load without flows is dropped only once its emptiness was reported.
+        for target_id, load in list(self.loads.items()):
+            if not load.busy and not load.idle and target_id not in self.changed:
+                del self.loads[target_id]
 
 
 def lifetime(flow: SeenFlow, idle_timeout_s: float) -> float:
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -132,7 +132,6 @@
         """Return what this host says of a target."""
         target = self.steering.catalog.targets.get(target_id)
         if target is None:
-            self.steering.table.loads.pop(target_id, None)
             return None
         load = self.steering.table.load_of(target)
         evidence = self.steering.evidence.get(target_id)
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -14,7 +14,9 @@
 
 __all__ = ["CallerPort", "Steering"]
 
-STALL_S = 0.15  # Less than the 200 ms after which callers repeat a packet.
+# Less than the 200 ms after which callers repeat a packet, and far more than a packet that was
+# overtaken on its way is late.
+STALL_S = 0.15
 
 
 class CallerPort(Protocol):
@@ -221,9 +223,11 @@
             end = (packet.sequence + packet.length) % (1 << 32)
             if flow.sent_end is None or is_after(end, flow.sent_end):
                 flow.sent_end = end
+                flow.sent_at = now
                 if flow.waiting_since is None or not flow.requests:
                     self.begin_request(packet, flow, now)
-            else:
+            elif now - flow.sent_at >= STALL_S:
+                flow.sent_at = now
                 self.stall(flow, packet.flow, now)
             if self.give_up(flow, now):
                 return False
@@ -258,6 +262,15 @@
         flow.stalled += 1
         self.metrics.count("packets_repeated")
         evidence = self.evidence_of(flow.target)
+        self.journal.event(
+            "repeated",
+            key,
+            target=flow.target.id,
+            opened=flow.opened,
+            count=flow.stalled,
+            waited_s=round(now - flow.waiting_since, 3) if flow.waiting_since else None,
+            progress_age_s=round(now - evidence.progress_at, 3),
+        )
         if evidence.stalled(key, now):
             self.note_suspicion(flow.target, "stalled_flows", now)
         self.on_stall(flow.target)
