--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -184,8 +184,10 @@
         try:
             while await serve_one(parser, message, reader, writer, handler):
                 pass
-        except (OSError, TimeoutError, httptools.HttpParserError):
-            pass  # The client went away or does not speak HTTP; nobody is left to be told.
+        except (OSError, TimeoutError, httptools.HttpParserError, asyncio.CancelledError):
+            # The client went away, does not speak HTTP, or this process stops: nobody is left to
+            # be told. asyncio's streams log a cancelled connection task as an error.
+            pass
         finally:
             writer.close()
 
--- a/packages/godwitway/src/godwitway/steering/_evidence.py
+++ b/packages/godwitway/src/godwitway/steering/_evidence.py
@@ -43,8 +43,16 @@
         self.probed_at = -PROBE_VALID_S
         self.unhealthy = False
 
-    def progressed(self, now: float) -> bool:
-        """Take note of progress; returns whether it ended a suspicion."""
+    def progressed(self, now: float, sent_at: float) -> bool:
+        """Take note of progress; returns whether it ended a suspicion.
+
+        Args:
+            now: The time.
+            sent_at: When the data that was answered was sent on. Bytes that the target had sent
+                before it became unreachable may still reach callers.
+        """
+        if self.suspected_since is not None and sent_at <= self.suspected_since:
+            return False
         self.progress_at = now
         if self.stalls:
             self.stalls.clear()
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -20,6 +20,7 @@
 from godwitway.steering._peers import HOSTS_PREFIX, Member, Peers, keep_registered
 from godwitway.steering._probes import Probe, Probes
 from godwitway.steering._replica import Replica
+from godwitway.steering._rotation import Rotation
 from godwitway.steering._settings import SteeringSettings
 from godwitway.steering._steering import CallerPort, Steering
 from godwitway.store import KeyValue, RangeResult, StoreError
@@ -32,8 +33,11 @@
 START_RETRY_S = 0.1
 SNAPSHOT_TIMEOUT_S = 1.0
 BEHIND_S = 0.7  # A watch brings a change sooner than this, pacing included.
-QUIET_S = 1.5  # Routers take a host out of rotation after two probes, half a second apart.
+LEAVE_S = 1.2  # Routers take a host out of rotation after two probes, half a second apart.
+QUIET_S = 0.5  # After this long without a packet of a caller, none is on its way.
+SEED_DELAY_S = 0.15  # The store answers in milliseconds unless it is slow or cut off.
 STOP_MARGIN_S = 0.5
+STOP_CHECK_S = 0.1
 LOG_BUDGET = 50  # Lines of one event a second; a line costs about 20 us.
 
 
@@ -83,8 +87,8 @@
     Attributes:
         settings: The checked settings.
         platform: The adapter.
-        serving: Whether the platform's routers should send packets.
-        leaving: Whether a planned stop has begun.
+        stopping: Whether a planned stop has begun.
+        leaving: Whether the host has left the rotation for a planned stop.
     """
 
     def __init__(
@@ -101,8 +105,9 @@
         self.journal = Journal(settings.name, self.now, sink, platform.format_flow, LOG_BUDGET)
         self.catalog = Catalog()
         self.background: set[asyncio.Task[None]] = set()
+        self.stopping = False
         self.leaving = False
-        self.behind_since: float | None = None
+        self.behind_since: dict[Address, float] = {}
         self.stopped = asyncio.Event()
         self.failure: BaseException | None = None
         self.started_at = self.now()
@@ -150,14 +155,16 @@
             self.metrics,
             self.journal,
         )
-        self.peers.on_behind = self.peer_is_ahead
+        self.peers.on_report = self.compare_revisions
         self.steering.peer_loads = self.peers.loads_at
+        self.rotation = Rotation(self.steering, self.peers)
         servers = [
             await serve_http(settings.ready, self.handle_ready),
             await serve_http(settings.control, self.handle_control),
         ]
         await self.synchronize()
         self.steering.ready = True
+        self.update_rotation()
         self.journal.event(
             "ready",
             version=self.catalog.config.version,
@@ -199,17 +206,37 @@
         task.add_done_callback(done)
 
     async def synchronize(self) -> None:
-        """Learn configuration, targets and hosts from the store, or from a peer."""
+        """Learn configuration, targets and hosts from the store, or else from another host."""
         attempt = 0
-        while not self.config_replica.revision:
+        while self.catalog.config is None:
             attempt += 1
-            sources: list[Awaitable[bool]] = [self.list_store()]
-            if attempt > 1:
-                sources += [self.fetch_snapshot(seed) for seed in self.settings.seeds]
-            done = await asyncio.gather(*sources)
-            if not any(done):
+            listing = asyncio.ensure_future(self.list_store())
+            await asyncio.wait([listing], timeout=SEED_DELAY_S)
+            if not listing.done():
+                await self.ask_hosts()
+            if self.catalog.config is not None:
+                # The feeds go on from the snapshot's revisions.
+                listing.cancel()
+                return
+            if not await listing:
+                await self.ask_hosts()
                 await asyncio.sleep(START_RETRY_S * min(attempt, 5))
 
+    async def ask_hosts(self) -> None:
+        """Take over the snapshot of a seed, or of a host that has reported to this one."""
+        heard = [
+            (address[0], self.settings.control[1])
+            for address, peer in self.peers.by_address.items()
+            if peer.heard_at is not None
+        ]
+        addresses = {*heard, *self.settings.seeds} - {self.settings.control}
+        tasks = [asyncio.ensure_future(self.fetch_snapshot(address)) for address in addresses]
+        for task in asyncio.as_completed(tasks):
+            if await task:
+                break
+        for task in tasks:
+            task.cancel()
+
     async def list_store(self) -> bool:
         """Read all keys of the store."""
         try:
@@ -287,13 +314,18 @@
         """Take a peer's report."""
         self.peers.take(datagram, source)
 
-    def peer_is_ahead(self, peer: PeerLoads) -> None:
+    def compare_revisions(self, peer: PeerLoads) -> None:
         """Ask for changes that a peer has had for a while and this host has not."""
+        if (
+            peer.config_revision <= self.config_replica.revision
+            and peer.targets_revision <= self.targets_replica.revision
+        ):
+            self.behind_since.pop(peer.address, None)
+            return
         now = self.now()
-        if self.behind_since is None:
-            self.behind_since = now
-        elif now - self.behind_since > BEHIND_S:
-            self.behind_since = None
+        since = self.behind_since.setdefault(peer.address, now)
+        if now - since > BEHIND_S:
+            del self.behind_since[peer.address]
             self.metrics.count("behind_peer")
             self.journal.event(
                 "behind_peer",
@@ -329,6 +361,7 @@
             self.catalog.forget_departed(now)
             self.peers.forget_silent(now)
             self.probes.ask_suspected()
+            self.update_rotation()
             if ticks % SETTLE_EVERY == 0:
                 self.metrics.settle()
 
@@ -343,8 +376,7 @@
 
     async def handle_ready(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Answer the platform's question whether packets should come here."""
-        ready = self.steering.ready and not self.leaving
-        return (200 if ready else 503), b"{}", "application/json"
+        return (200 if self.peers.in_rotation else 503), b"{}", "application/json"
 
     async def handle_control(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Serve snapshots, metrics and the state dump."""
@@ -365,6 +397,9 @@
             "uptime_s": round(now - self.started_at, 3),
             "ready": self.steering.ready,
             "leaving": self.leaving,
+            "in_rotation": self.peers.in_rotation,
+            "yielding": self.rotation.yielding,
+            "demand": self.rotation.demand,
             "config": {
                 "version": self.catalog.config.version if self.catalog.config else None,
                 "revision": self.config_replica.revision,
@@ -419,18 +454,31 @@
 
     async def stop(self) -> None:
         """Leave the rotation, forward what still comes, then end."""
-        if self.leaving:
+        if self.stopping:
             return
-        self.leaving = self.peers.leaving = True
+        self.stopping = True
         began = self.now()
+        bound = began + self.settings.stop_bound_s - STOP_MARGIN_S
         self.journal.event("stopping", flows=len(self.steering.table.flows))
-        bound = max(0.0, self.settings.stop_bound_s - STOP_MARGIN_S)
-        while self.now() - began < bound:
-            await asyncio.sleep(UPKEEP_S)
+        while not self.rotation.may_leave() and self.now() < bound - LEAVE_S - QUIET_S:
+            await asyncio.sleep(STOP_CHECK_S)
+        self.leaving = True
+        self.update_rotation()
+        left = self.now()
+        self.journal.event("left_rotation", waited_s=round(left - began, 3))
+        while self.now() < bound:
+            await asyncio.sleep(STOP_CHECK_S)
             now = self.now()
-            if now - max(began, self.steering.last_packet_at) > QUIET_S:
+            if now - left > LEAVE_S and now - self.steering.last_packet_at > QUIET_S:
                 break
         self.stopped.set()
 
+    def update_rotation(self) -> None:
+        """Decide anew whether to ask for packets, and tell the other hosts."""
+        self.rotation.update()
+        self.peers.in_rotation = (
+            self.steering.ready and not self.leaving and not self.rotation.yielding
+        )
+
 
 
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -9,7 +9,13 @@
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
 from godwitway.steering._feed import FleetStore
-from godwitway.steering._loads import PeerLoads, Report, decode_report, encode_report
+from godwitway.steering._loads import (
+    PeerLoads,
+    Report,
+    decode_report,
+    encode_report,
+    zone_code,
+)
 from godwitway.steering._model import Target
 from godwitway.steering._steering import Steering
 from godwitway.store import KeyValue, StoreError
@@ -59,10 +65,12 @@
         own: This host.
         boot: A random number of this process.
         by_address: Peers by the address of their reports.
-        zones: The zone of each peer that is registered.
+        zone: The code of this host's zone.
         send: Sends a datagram to a peer.
-        on_behind: Called with a peer that knows of newer changes than this host.
+        on_report: Called with a peer that has just reported.
         revisions: Returns the configuration's version and both revisions of this host.
+        in_rotation: Whether this host asks for packets.
+        cut_off: Whether this host's zone is cut off and short of targets.
     """
 
     def __init__(
@@ -83,9 +91,10 @@
         self.metrics = metrics
         self.journal = journal
         self.by_address: dict[Address, PeerLoads] = {}
-        self.zones: dict[Address, str] = {}
-        self.on_behind: Callable[[PeerLoads], None] = lambda peer: None
-        self.leaving = False
+        self.zone = zone_code(own.zone)
+        self.on_report: Callable[[PeerLoads], None] = lambda peer: None
+        self.in_rotation = False
+        self.cut_off = False
         self.recent: list[set[str]] = [set()] * REPEAT_TICKS
         self.tick = 0
 
@@ -96,18 +105,18 @@
             if member is None:
                 self.journal.event("entry_rejected", key=item.key, reason="not a host")
             elif member.name != self.own.name:
-                self.zones[member.address] = member.zone
-                self.by_address.setdefault(member.address, PeerLoads(member.address))
+                peer = self.by_address.setdefault(member.address, PeerLoads(member.address))
+                peer.zone = zone_code(member.zone)
 
     def listeners(self) -> list[Address]:
         """Return the hosts that this one reports to."""
         if len(self.by_address) < SMALL_FLEET:
             return list(self.by_address)
-        return [
-            address
-            for address in self.by_address
-            if self.zones.get(address, self.own.zone) == self.own.zone
-        ]
+        return [peer.address for peer in self.by_address.values() if self.near(peer)]
+
+    def near(self, peer: PeerLoads) -> bool:
+        """Whether a peer is in this host's zone, or its zone is not known yet."""
+        return peer.zone is None or peer.zone == self.zone
 
     def report(self) -> None:
         """Tell the other hosts what changed; called every `REPORT_S`."""
@@ -116,26 +125,45 @@
         refresh = self.tick % REFRESH_TICKS == 0
         changed, table.changed = table.changed, set()
         self.recent = [changed, *self.recent[:-1]]
-        told = set(table.loads) if refresh else set().union(*self.recent)
+        told = set().union(*self.recent)
+        if refresh:
+            told |= table.loads.keys() | self.suspected_targets()
         if not told and not refresh:
             return
         version, config_revision, targets_revision = self.revisions()
         loads = [entry for target_id in told if (entry := self.entry(target_id)) is not None]
         report = Report(
-            self.boot, version, config_revision, targets_revision, self.leaving, loads
+            self.boot,
+            self.zone,
+            version,
+            config_revision,
+            targets_revision,
+            self.in_rotation,
+            self.cut_off,
+            loads,
         )
         for datagram in encode_report(report):
             for address in self.listeners():
                 self.send(datagram, address)
 
+    def suspected_targets(self) -> set[str]:
+        """Return the targets that this host itself suspects."""
+        return {
+            target_id
+            for target_id, evidence in self.steering.evidence.items()
+            if evidence.suspected_since is not None
+        }
+
     def entry(self, target_id: str) -> tuple[int, int, int, bool] | None:
         """Return what this host says of a target."""
         target = self.steering.catalog.targets.get(target_id)
         if target is None:
             return None
-        load = self.steering.table.load_of(target)
+        load = self.steering.table.loads.get(target_id)
         evidence = self.steering.evidence.get(target_id)
         suspected = evidence is not None and evidence.suspected_since is not None
+        if load is None:
+            return target.token, 0, 0, suspected
         return target.token, load.busy, load.idle, suspected
 
     def take(self, datagram: bytes, source: Address) -> None:
@@ -158,14 +186,15 @@
         peer.config_version = report.config_version
         peer.config_revision = report.config_revision
         peer.targets_revision = report.targets_revision
-        in_zone = self.zones.get(source) == self.own.zone
+        peer.zone = report.zone
+        peer.in_rotation = report.in_rotation
+        peer.cut_off = report.cut_off
+        in_zone = report.zone == self.zone
         for token, busy, idle, suspected in report.loads:
             peer.loads[token] = (busy, idle)
             if suspected and in_zone:
                 self.suspected_by_peer(token, now)
-        _, config_revision, targets_revision = self.revisions()
-        if peer.config_revision > config_revision or peer.targets_revision > targets_revision:
-            self.on_behind(peer)
+        self.on_report(peer)
 
     def suspected_by_peer(self, token: int, now: float) -> None:
         """Take note that a host of the same zone suspects a target."""
@@ -189,7 +218,6 @@
         for address, peer in list(self.by_address.items()):
             if peer.heard_at is not None and now - peer.heard_at > FORGET_S:
                 del self.by_address[address]
-                self.zones.pop(address, None)
                 self.journal.event("peer_forgotten", peer=format_address(address))
 
     async def run(self) -> None:
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -9,8 +9,9 @@
 
 __all__ = ["Probe", "Probes"]
 
-PROBE_TIMEOUT_S = 0.25  # Several round trips between zones.
-PROBE_PAUSE_S = 1.0  # Health checks are priced and take a slot.
+PROBE_TIMEOUT_S = 0.2  # Twenty round trips between zones.
+SILENT_S = 0.1
+PROBE_PAUSE_S = 0.5  # Health checks are priced and take a slot.
 DOUBT_S = 0.3  # A target that just answered other callers is not dead.
 
 Probe = Callable[[Target, str, float], Awaitable[bool | None]]
@@ -32,6 +33,7 @@
         self.probe = probe
         self.spawn = spawn
         steering.on_stall = self.on_stall
+        steering.on_suspicion = self.on_suspicion
 
     def on_stall(self, target: Target) -> None:
         """Begin a health check unless the target made progress or was asked lately."""
@@ -43,6 +45,19 @@
             return
         self.begin(target, evidence, now)
 
+    def on_suspicion(self, suspected: Target) -> None:
+        """Ask the other targets of another zone, since the zone may be cut off."""
+        if suspected.zone == self.steering.zone:
+            return
+        now = self.steering.now()
+        for target in self.steering.catalog.targets.values():
+            if target.zone != suspected.zone or target is suspected:
+                continue
+            evidence = self.steering.evidence_of(target)
+            silent_s = now - evidence.progress_at
+            if evidence.suspected_since is None and not evidence.probing and silent_s > SILENT_S:
+                self.begin(target, evidence, now)
+
     def begin(self, target: Target, evidence: TargetEvidence, now: float) -> None:
         """Begin a health check."""
         evidence.probing = True
@@ -74,6 +89,7 @@
 
     def answered(self, target: Target, evidence: TargetEvidence, healthy: bool) -> None:
         """Trust a target again whose endpoint answered."""
+        evidence.progress_at = self.steering.now()
         evidence.stalls.clear()
         evidence.unhealthy = not healthy
         if evidence.suspected_since is not None:
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_rotation.py
@@ -0,0 +1,114 @@
+"""Whether this host asks the platform's routers for packets.
+
+A host that does not ask for packets still forwards those that come.
+"""
+
+from godwitway.steering._catalog import Catalog
+from godwitway.steering._model import Target
+from godwitway.steering._peers import Peers
+from godwitway.steering._steering import Steering
+
+__all__ = ["Rotation"]
+
+DEMAND_SMOOTHING = 0.05  # For samples four times a second: about five seconds.
+USABLE_SHARE = 0.85  # Above this use of the slots, requests wait longer than they run.
+PEER_FRESH_S = 0.8  # Hosts are heard at least twice a second.
+ROUTER_NOTICE_S = 1.2  # Routers notice a host's readiness after two probes, half a second apart.
+
+
+class Rotation:
+    """Decides whether this host asks for packets.
+
+    Attributes:
+        demand: Requests in progress for each service from this zone's hosts, smoothed.
+        yielding: Why this host gives its packets to others, or an empty string.
+    """
+
+    def __init__(self, steering: Steering, peers: Peers) -> None:
+        self.steering = steering
+        self.peers = peers
+        self.demand: dict[str, float] = {}
+        self.yielding = ""
+
+    def update(self) -> None:
+        """Decide anew; called several times a second."""
+        now = self.steering.now()
+        reason = self.reason(now)
+        if not reason:
+            self.sample_demand(now)
+        if reason != self.yielding:
+            self.yielding = reason
+            self.steering.journal.event(
+                "rotation",
+                reason=reason or "serving",
+                demand={name: round(value, 2) for name, value in self.demand.items()},
+            )
+        self.peers.cut_off = reason == "zone_short"
+
+    def reason(self, now: float) -> str:
+        """Return why others should serve this host's callers, or an empty string."""
+        targets = self.open_targets(self.steering.catalog)
+        reachable = [target for target in targets if not self.steering.suspected(target, now)]
+        if not targets:
+            return ""
+        if not reachable:
+            return "isolated"
+        zone = self.steering.zone
+        others = [target for target in targets if target.zone != zone]
+        if not others or any(target.zone != zone for target in reachable):
+            return ""
+        if self.short_of_slots(reachable) or self.peers_cut_off(now):
+            return "zone_short"
+        return ""
+
+    @staticmethod
+    def open_targets(catalog: Catalog) -> list[Target]:
+        """Return the targets that take new flows."""
+        return [target for target in catalog.targets.values() if not target.draining]
+
+    def short_of_slots(self, reachable: list[Target]) -> bool:
+        """Whether some service has less slots than its usual requests need."""
+        slots: dict[str, int] = {}
+        for target in reachable:
+            slots[target.service] = slots.get(target.service, 0) + target.slots
+        return any(
+            demand > USABLE_SHARE * slots.get(service, 0)
+            for service, demand in self.demand.items()
+        )
+
+    def peers_cut_off(self, now: float) -> bool:
+        """Whether at least half of this zone's other hosts found the zone cut off and short."""
+        peers = self.zone_peers(now)
+        return bool(peers) and 2 * sum(peer.cut_off for peer in peers) >= len(peers)
+
+    def zone_peers(self, now: float) -> list:
+        """Return the live hosts of this zone but this one."""
+        return [
+            peer
+            for peer in self.peers.by_address.values()
+            if peer.zone == self.peers.zone and peer.alive(now, PEER_FRESH_S)
+        ]
+
+    def sample_demand(self, now: float) -> None:
+        """Take the present requests of this zone's hosts into the smoothed demand."""
+        busy: dict[str, float] = {service: 0.0 for service in self.demand}
+        peers = self.zone_peers(now)
+        for target in self.steering.catalog.targets.values():
+            own = self.steering.table.loads.get(target.id)
+            requests = own.busy if own else 0
+            requests += sum(peer.loads.get(target.token, (0, 0))[0] for peer in peers)
+            busy[target.service] = busy.get(target.service, 0.0) + requests
+        for service, requests in busy.items():
+            before = self.demand.get(service, 0.0)
+            self.demand[service] = before + DEMAND_SMOOTHING * (requests - before)
+
+    def may_leave(self) -> bool:
+        """Whether routers keep to the zone's other hosts when this one leaves.
+
+        With fewer than half of a zone's hosts in rotation they use all of them, also those that
+        have gone.
+        """
+        now = self.steering.now()
+        others = [peer for peer in self.peers.by_address.values() if peer.zone == self.peers.zone]
+        serving = sum(peer.in_rotation and peer.alive(now, PEER_FRESH_S) for peer in others)
+        return not others or 2 * serving >= len(others) + 1
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -47,6 +47,7 @@
         journal: The log of decisions.
         ready: Whether configuration and targets are known.
         on_stall: Called with a target that a flow makes no progress at.
+        on_suspicion: Called with a target that this host begins to suspect.
         last_packet_at: When the last packet of a caller came.
     """
 
@@ -71,6 +72,7 @@
         self.evidence: dict[str, TargetEvidence] = {}
         self.peer_loads: Callable[[Target], tuple[int, int]] = lambda target: (0, 0)
         self.on_stall: Callable[[Target], None] = lambda target: None
+        self.on_suspicion: Callable[[Target], None] = lambda target: None
         self.ready = False
         self.last_packet_at = now()
 
@@ -205,17 +207,18 @@
             return flow
         if flow.target.id != target.id:
             self.table.move(flow, target)
+        else:
+            self.progressed(target, now, flow.touched)
         flow.opened = True
-        self.progressed(target, now)
         return flow
 
     def measure(self, packet: FlowPacket, flow: SeenFlow, now: float) -> bool:
         """Learn from a packet; returns False when the flow should be tried elsewhere."""
         if advances(flow, packet):
             if flow.acknowledged is not None:
-                self.progressed(flow.target, now)
                 flow.stalled = 0
                 if flow.waiting_since is not None:
+                    self.progressed(flow.target, now, flow.waiting_since)
                     self.metrics.observe("first_byte", now - flow.waiting_since)
                     self.table.set_waiting(flow, None)
             flow.acknowledged = packet.acknowledged
@@ -287,10 +290,11 @@
             flows=len(evidence.stalls),
             progress_age_s=round(now - evidence.progress_at, 3),
         )
+        self.on_suspicion(target)
 
-    def progressed(self, target: Target, now: float) -> None:
-        """Take note that a target answered a caller."""
-        if self.evidence_of(target).progressed(now):
+    def progressed(self, target: Target, now: float, sent_at: float) -> None:
+        """Take note that a target answered what was sent to it at a time."""
+        if self.evidence_of(target).progressed(now, sent_at):
             self.table.changed.add(target.id)
             self.journal.event("target_trusted", target=target.id, reason="progress")
 
