--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,15 @@
 PYTHON ?= python3
 BIN := .venv/bin
 PACKAGES := godwitway godwitwayd godwitctl godwitway-standins
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+FOLDERS := $(addprefix packages/,$(PACKAGES)) platform
+EDITABLE := $(addprefix -e ,$(FOLDERS))
 TOOLS := "pytest>=8,<10" "hypothesis>=6.100,<7" "ruff>=0.5,<0.18"
 JOBS ?= 4
 REPLAYS ?= $(filter-out traces/demo.jsonl,$(wildcard traces/*.jsonl))
 
 .PHONY: demo test lint format bench bench-scale replay traces golden clean
 
-.venv/installed: $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) Makefile
+.venv/installed: $(addsuffix /pyproject.toml,$(FOLDERS)) Makefile
 	$(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check $(EDITABLE) $(TOOLS)
 	touch $@
@@ -17,18 +18,18 @@
 	sh examples/demo.sh $(BIN)
 
 test: .venv/installed
-	set -e; for package in $(PACKAGES); do \
-	  echo "testing $$package"; (cd packages/$$package && ../../$(BIN)/python -m pytest); \
+	set -e; for folder in $(FOLDERS); do \
+	  echo "testing $$folder"; (cd $$folder && $(CURDIR)/$(BIN)/python -m pytest); \
 	done
 
 lint: .venv/installed
-	set -e; for package in $(PACKAGES); do \
-	  (cd packages/$$package && ../../$(BIN)/ruff format --check . && ../../$(BIN)/ruff check .); \
+	set -e; for folder in $(FOLDERS); do \
+	  (cd $$folder && $(CURDIR)/$(BIN)/ruff format --check . && $(CURDIR)/$(BIN)/ruff check .); \
 	done
 
 format: .venv/installed
-	set -e; for package in $(PACKAGES); do \
-	  (cd packages/$$package && ../../$(BIN)/ruff check -q --fix .; ../../$(BIN)/ruff format -q .); \
+	set -e; for folder in $(FOLDERS); do \
+	  (cd $$folder && $(CURDIR)/$(BIN)/ruff format -q . && $(CURDIR)/$(BIN)/ruff check -q --fix . && $(CURDIR)/$(BIN)/ruff format -q .); \
 	done
 
 # Plays every trace against godwitway and the baselines; one JSON line each.
--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -218,4 +218,3 @@
     writer.write(head.encode("ascii") + body)
     await writer.drain()
     return parser.should_keep_alive()
-
--- a/packages/godwitway/src/godwitway/journal.py
+++ b/packages/godwitway/src/godwitway/journal.py
@@ -52,7 +52,7 @@
         self.written: Counter[str] = Counter()
         self.suppressed: Counter[str] = Counter()
 
-    def event(self, name: str, key: bytes | None = None, **fields: Any) -> None:
+    def event(self, name: str, key: bytes | None = None, /, **fields: Any) -> None:
         """Write one event; an event that comes too often is counted instead."""
         now = self.now()
         if int(now) != self.second:
--- a/packages/godwitway/src/godwitway/process/__init__.py
+++ b/packages/godwitway/src/godwitway/process/__init__.py
@@ -1,13 +1,13 @@
 """What lives as long as the process: ports, peers, membership, configuration and the API."""
 
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
 from godwitway.process._api import build_app, serve_api
 from godwitway.process._clock import Clock, LoopClock, wait_for_event
 from godwitway.process._config import CONFIG_PREFIX, HOSTS_PREFIX, MARKER, SERVICES_PREFIX
 from godwitway.process._courier import Courier, NngCourier
 from godwitway.process._etcd import EtcdStore
 from godwitway.process._host import Host, Links
-from godwitway.journal import Journal
-from godwitway.metrics import Metrics
 from godwitway.process._ports import DatagramPort, UdpPort, batches
 from godwitway.process._reports import EndpointReport, HealthSource, HttpHealth
 from godwitway.process._settings import ApiSettings, Settings, check_settings, read_settings
--- a/packages/godwitway/src/godwitway/process/_api.py
+++ b/packages/godwitway/src/godwitway/process/_api.py
@@ -15,8 +15,8 @@
 from godwitway.process._dump import dump, status
 from godwitway.process._host import Host
 from godwitway.process._settings import ApiSettings
-from godwitway.store import StoreError
 from godwitway.process._writes import Outcome
+from godwitway.store import StoreError
 from godwitway.version import Service, Snapshot, check_service
 
 __all__ = ["build_app", "serve_api"]
--- a/packages/godwitway/src/godwitway/process/_host.py
+++ b/packages/godwitway/src/godwitway/process/_host.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from godwitway.journal import Journal, Sink
+from godwitway.metrics import Metrics
 from godwitway.process._answers import Answers
 from godwitway.process._clock import Clock
 from godwitway.process._config import Config
@@ -15,7 +17,7 @@
 from godwitway.process._door import Door
 from godwitway.process._flows import Flows
 from godwitway.process._handover import Handover
-from godwitway.journal import Journal, Sink
+from godwitway.process._log_sink import write_log_line
 from godwitway.process._member import Member, MemberState
 from godwitway.process._membership import Membership
 from godwitway.process._messages import (
@@ -30,8 +32,6 @@
     StateReply,
     StateRequest,
 )
-from godwitway.metrics import Metrics
-from godwitway.process._log_sink import write_log_line
 from godwitway.process._node import Node
 from godwitway.process._ownership import Ownership
 from godwitway.process._ports import DatagramPort
--- a/packages/godwitway/src/godwitway/process/_node.py
+++ b/packages/godwitway/src/godwitway/process/_node.py
@@ -10,12 +10,12 @@
 
 from godwitway.addresses import Address, pack_address
 from godwitway.errors import ErrorKind
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
 from godwitway.process._clock import Clock
 from godwitway.process._courier import Courier
 from godwitway.process._directory import Directory
-from godwitway.journal import Journal
 from godwitway.process._member import Member, MemberState
-from godwitway.metrics import Metrics
 from godwitway.process._ports import DatagramPort
 from godwitway.process._settings import Settings
 from godwitway.request import Keyring, Redirect, encode
--- a/packages/godwitway/src/godwitway/steering/_flows.py
+++ b/packages/godwitway/src/godwitway/steering/_flows.py
@@ -158,7 +158,9 @@
     def expire(self, now: float, idle_timeout_s: float) -> None:
         """Forget flows that never opened, were closed, or idle for longer than the timeout."""
         expired = [
-            key for key, flow in self.flows.items() if now - flow.touched > lifetime(flow, idle_timeout_s)
+            key
+            for key, flow in self.flows.items()
+            if now - flow.touched > lifetime(flow, idle_timeout_s)
         ]
         for key in expired:
             self.remove(key)
--- a/packages/godwitway/src/godwitway/steering/_model.py
+++ b/packages/godwitway/src/godwitway/steering/_model.py
@@ -4,7 +4,7 @@
 
 from godwitway.addresses import Address
 
-__all__ = ["FlowPacket", "FleetConfig", "RequestKind", "Route", "ServiceTerms", "Target"]
+__all__ = ["FleetConfig", "FlowPacket", "RequestKind", "Route", "ServiceTerms", "Target"]
 
 
 class RequestKind(Enum):
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -5,7 +5,7 @@
 import json
 import random
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from godwitway.addresses import Address, format_address
@@ -123,7 +123,13 @@
         self.targets_replica = Replica(platform.targets_prefix, self.announcements.target_changed)
         self.store = platform.store(settings, self.metrics)
         self.feeds = [
-            Feed(platform.store(settings, self.metrics), replica, self.rng, self.metrics, self.journal)
+            Feed(
+                platform.store(settings, self.metrics),
+                replica,
+                self.rng,
+                self.metrics,
+                self.journal,
+            )
             for replica in (self.config_replica, self.targets_replica)
         ]
 
@@ -262,9 +268,7 @@
             response = await connection.request("GET", "/snapshot", b"", SNAPSHOT_TIMEOUT_S)
             document = json.loads(response.body) if response.status == 200 else None
         except (HttpError, ValueError) as error:
-            self.journal.event(
-                "snapshot_failed", peer=format_address(address), reason=str(error)
-            )
+            self.journal.event("snapshot_failed", peer=format_address(address), reason=str(error))
             return False
         finally:
             connection.close()
@@ -293,7 +297,11 @@
                 replica.prefix: {
                     "revision": replica.revision,
                     "items": [
-                        (item.key, binascii.b2a_base64(item.value, newline=False).decode(), item.mod_revision)
+                        (
+                            item.key,
+                            binascii.b2a_base64(item.value, newline=False).decode(),
+                            item.mod_revision,
+                        )
                         for item in replica.items.values()
                     ],
                 }
@@ -479,6 +487,3 @@
         self.peers.in_rotation = (
             self.steering.ready and not self.leaving and not self.rotation.yielding
         )
-
-
-
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -1,6 +1,5 @@
 """Health checks of targets whose flows make no progress."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from godwitway.steering._evidence import TargetEvidence
--- a/packages/godwitway/src/godwitway/steering/_replica.py
+++ b/packages/godwitway/src/godwitway/steering/_replica.py
@@ -37,7 +37,7 @@
         for key in [key for key in self.items if key not in listed]:
             del self.items[key]
             self.on_change(key, None, revision)
-        for key, item in listed.items():
+        for item in listed.values():
             self.put(item)
         self.revision = max(revision, 1)
         return True
--- a/packages/godwitway/src/godwitway/steering/_rotation.py
+++ b/packages/godwitway/src/godwitway/steering/_rotation.py
@@ -72,8 +72,7 @@
         for target in reachable:
             slots[target.service] = slots.get(target.service, 0) + target.slots
         return any(
-            demand > USABLE_SHARE * slots.get(service, 0)
-            for service, demand in self.demand.items()
+            demand > USABLE_SHARE * slots.get(service, 0) for service, demand in self.demand.items()
         )
 
     def peers_cut_off(self, now: float) -> bool:
@@ -91,7 +90,7 @@
 
     def sample_demand(self, now: float) -> None:
         """Take the present requests of this zone's hosts into the smoothed demand."""
-        busy: dict[str, float] = {service: 0.0 for service in self.demand}
+        busy: dict[str, float] = dict.fromkeys(self.demand, 0.0)
         peers = self.zone_peers(now)
         for target in self.steering.catalog.targets.values():
             own = self.steering.table.loads.get(target.id)
--- a/packages/godwitway/src/godwitway/steering/_settings.py
+++ b/packages/godwitway/src/godwitway/steering/_settings.py
@@ -1,6 +1,5 @@
 """The settings of a steering host, read from JSON with comments and checked whole."""
 
-
 from result import Err, Result
 
 from godwitway.addresses import Address
--- /dev/null
+++ b/packages/godwitway/tests/steering/test_evidence.py
@@ -0,0 +1,94 @@
+"""Tests of the evidence about targets."""
+
+from steering_builders import BID, BOARD, SteeringWorld, build_target
+
+from godwitway.steering._evidence import PEER_VALID_S, TargetEvidence
+
+
+def stall(world: SteeringWorld, target, flows: list[bytes], to: bytes = BOARD) -> None:
+    """Send a request on each flow, and again 200 ms later."""
+    for flow in flows:
+        world.request(flow, target, to=to)
+    for number, flow in enumerate(flows):
+        world.request(flow, target, to=to, after_s=0.0 if number else 0.2)
+
+
+class TestSuspicion:
+    """When a target is suspected."""
+
+    def test_one_stalled_flow_is_no_evidence(self):
+        """A single flow may have lost packets by itself."""
+        evidence = TargetEvidence()
+        assert not evidence.stalled(b"flow-1", 1.0)
+        assert not evidence.stalled(b"flow-1", 1.6)
+        assert not evidence.suspected(1.6)
+
+    def test_several_stalled_flows_are(self):
+        """Two flows without progress begin a suspicion, once."""
+        evidence = TargetEvidence()
+        evidence.stalled(b"flow-1", 1.0)
+        assert evidence.stalled(b"flow-2", 1.1)
+        assert not evidence.stalled(b"flow-3", 1.2)
+        assert evidence.suspected(5.0)
+
+    def test_old_stalls_do_not_count(self):
+        """Stalls that are far apart are losses."""
+        evidence = TargetEvidence()
+        evidence.stalled(b"flow-1", 1.0)
+        assert not evidence.stalled(b"flow-2", 3.0)
+
+    def test_progress_clears_stalls(self):
+        """A target that answers callers is alive."""
+        evidence = TargetEvidence()
+        evidence.stalled(b"flow-1", 1.0)
+        evidence.progressed(1.1, 1.05)
+        assert not evidence.stalled(b"flow-2", 1.2)
+
+    def test_an_answer_from_before_does_not_end_a_suspicion(self):
+        """Bytes that a target sent before a cut may arrive after it."""
+        evidence = TargetEvidence()
+        evidence.suspect(2.0)
+        assert not evidence.progressed(2.1, 1.9)
+        assert evidence.suspected(2.2)
+        assert evidence.progressed(2.3, 2.1)
+        assert not evidence.suspected(2.4)
+
+    def test_a_peer_s_suspicion_ends_by_itself(self):
+        """Peers repeat a suspicion while it lasts."""
+        evidence = TargetEvidence()
+        evidence.peer_suspected_at = 1.0
+        assert evidence.suspected(1.0 + PEER_VALID_S / 2)
+        assert not evidence.suspected(1.0 + PEER_VALID_S)
+
+
+class TestResetsOfUnreachableTargets:
+    """Resets of flows at suspected targets."""
+
+    def test_idempotent_flows_are_reset_at_their_next_packet(self):
+        """Callers then try another target inside their latency objective."""
+        world = SteeringWorld(build_target(1))
+        target = world.open(b"flow-1")
+        world.open(b"flow-2")
+        world.open(b"flow-3")
+        stall(world, target, [b"flow-1", b"flow-2"])
+        assert [packet.flow for packet in world.port.refused] == [b"flow-2"]
+        world.request(b"flow-3", target, after_s=0.1)
+        assert world.port.refused[-1].flow == b"flow-3"
+
+    def test_requests_that_may_not_be_repeated_are_never_reset(self):
+        """The request may be running, and its caller would not try again."""
+        world = SteeringWorld(build_target(1))
+        flows = [b"flow-1", b"flow-2", b"flow-3"]
+        for flow in flows:
+            target = world.open(flow, BID)
+        stall(world, target, flows, BID)
+        assert world.steering.suspected(target, world.clock.now())
+        assert not world.port.refused
+
+    def test_the_first_packet_of_a_flow_opened_elsewhere_is_no_progress(self):
+        """A host that did not forward the handshake learns nothing from its end."""
+        world = SteeringWorld(build_target(1))
+        target = world.steering.catalog.targets["i-0001"]
+        world.steering.evidence_of(target).suspect(world.clock.now())
+        world.take(0.1, flow=b"flow-9", token=target.token, sequence=1, acknowledged=1)
+        assert world.steering.suspected(target, world.clock.now())
--- /dev/null
+++ b/packages/godwitway/tests/steering/test_loads.py
@@ -0,0 +1,158 @@
+"""Tests of the reports between hosts."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from steering_builders import SteeringWorld, build_report, build_target
+
+from godwitway.metrics import Metrics
+from godwitway.steering._loads import HEAD_BYTES, decode_report, encode_report, zone_code
+from godwitway.steering._peers import Member, Peers
+from godwitway.store import KeyValue
+
+LOADS = st.lists(
+    st.tuples(
+        st.integers(0, 2**32 - 1), st.integers(0, 65_535), st.integers(0, 255), st.booleans()
+    ),
+    max_size=300,
+)
+
+
+def build_peers(world: SteeringWorld, sent: list, revisions=(3, 30, 40)) -> Peers:
+    """Return the peers of a world's host."""
+    return Peers(
+        Member("host-1", "a", ("10.1.0.1", 7)),
+        world.steering,
+        lambda datagram, address: sent.append((datagram, address)),
+        lambda: revisions,
+        random.Random(1),
+        Metrics(),
+        world.steering.journal,
+    )
+
+
+def datagram(**more) -> bytes:
+    """Return the only datagram of a report."""
+    (encoded,) = encode_report(build_report(**more))
+    return encoded
+
+
+class TestCodec:
+    """The form of a report."""
+
+    @given(LOADS)
+    def test_reports_survive_the_wire(self, loads):
+        """All entries of all datagrams together are the report."""
+        decoded = [decode_report(part) for part in encode_report(build_report(loads=loads))]
+        assert [entry for report in decoded for entry in report.loads] == loads
+        assert all(len(part) <= 1_200 for part in encode_report(build_report(loads=loads)))
+
+    def test_numbers_beyond_the_wire_s_width_are_cut(self):
+        """A host with more flows than fit still reports."""
+        report = decode_report(datagram(loads=[(1, 70_000, 300, False)]))
+        assert report.loads == [(1, 65_535, 255, False)]
+
+    @given(st.binary(max_size=200))
+    def test_foreign_datagrams_are_no_reports(self, data):
+        """Stray bytes never raise."""
+        report = decode_report(data)
+        assert report is None or len(data) >= HEAD_BYTES
+
+    @pytest.mark.parametrize("length", [0, 1, HEAD_BYTES - 1, HEAD_BYTES + 1])
+    def test_truncated_reports_are_rejected(self, length):
+        """A part of a report is no report."""
+        assert decode_report(datagram(loads=[(1, 2, 3, True)])[:length]) is None
+
+
+class TestPeers:
+    """What hosts learn from each other."""
+
+    def test_loads_of_live_peers_count(self):
+        """A silent peer's loads are forgotten."""
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, [])
+        token = world.steering.catalog.targets["i-0001"].token
+        peers.take(datagram(loads=[(token, 4, 2, False)]), ("10.1.0.2", 7))
+        target = world.steering.catalog.targets["i-0001"]
+        assert peers.loads_at(target) == (4, 2)
+        world.clock.time += 3.0
+        assert peers.loads_at(target) == (0, 0)
+
+    def test_a_restarted_peer_starts_anew(self):
+        """Loads of its earlier process do not stay."""
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, [])
+        token = world.steering.catalog.targets["i-0001"].token
+        peers.take(datagram(loads=[(token, 4, 2, False)]), ("10.1.0.2", 7))
+        peers.take(datagram(boot=10), ("10.1.0.2", 7))
+        assert peers.loads_at(world.steering.catalog.targets["i-0001"]) == (0, 0)
+
+    def test_suspicions_are_believed_within_a_zone_only(self):
+        """A host in another zone has other paths."""
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, [])
+        target = world.steering.catalog.targets["i-0001"]
+        peers.take(
+            datagram(zone=zone_code("b"), loads=[(target.token, 1, 1, True)]), ("10.2.0.2", 7)
+        )
+        assert not world.steering.suspected(target, world.clock.now())
+        peers.take(datagram(loads=[(target.token, 1, 1, True)]), ("10.1.0.2", 7))
+        assert world.steering.suspected(target, world.clock.now())
+
+    def test_suspicions_are_told_also_without_load(self):
+        """A host that has just started learns of them within half a second."""
+        sent = []
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, sent)
+        peers.learn_members([Member("host-2", "a", ("10.1.0.2", 7)).item()])
+        target = world.steering.catalog.targets["i-0001"]
+        world.steering.evidence_of(target).suspect(world.clock.now())
+        for _ in range(5):
+            peers.report()
+        assert decode_report(sent[-1][0]).loads == [(target.token, 0, 0, True)]
+
+    def test_changes_are_told_twice(self):
+        """A lost datagram is made up for by the next one."""
+        sent = []
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, sent)
+        peers.learn_members([Member("host-2", "a", ("10.1.0.2", 7)).item()])
+        world.take(flow=b"flow-1", opening=True)
+        peers.report()
+        peers.report()
+        peers.report()
+        assert [len(decode_report(data).loads) for data, _ in sent] == [1, 1]
+
+    def test_large_fleets_report_within_their_zone(self):
+        """Control traffic grows with a zone, not with the fleet."""
+        sent = []
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, sent)
+        peers.learn_members(
+            [
+                Member(f"host-{zone}-{number}", zone, (f"10.{index}.0.{number}", 7)).item()
+                for index, zone in enumerate("abc")
+                for number in range(2, 12)
+            ]
+        )
+        for _ in range(5):
+            peers.report()
+        assert {address[0].split(".")[1] for _, address in sent} == {"0"}
+
+    def test_its_own_reports_are_ignored(self):
+        """A datagram may come back."""
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, [])
+        peers.take(datagram(boot=peers.boot), ("10.1.0.9", 7))
+        assert not peers.by_address
+
+    @pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"address": 5}', b'{"address": "x"}'])
+    def test_unreadable_members_are_left_out(self, value):
+        """Other keys hold."""
+        world = SteeringWorld(build_target(1))
+        peers = build_peers(world, [])
+        good = Member("host-3", "a", ("10.1.0.3", 7)).item()
+        peers.learn_members([KeyValue("hosts/a/host-2", value, 1), good])
+        assert list(peers.by_address) == [("10.1.0.3", 7)]
--- /dev/null
+++ b/packages/godwitway/tests/steering/test_placement.py
@@ -0,0 +1,74 @@
+"""Tests of the choice of a target."""
+
+import random
+from collections import Counter
+
+from steering_builders import build_target
+
+from godwitway.steering._placement import LoadView, choose_service, choose_target
+
+
+def choose(targets, loads=None, suspected=(), now=0.0):
+    """Choose a target a hundred times and count the choices."""
+    rng = random.Random(1)
+    loads = loads or {}
+    return Counter(
+        choose_target(
+            targets,
+            lambda target: LoadView(*loads.get(target.id, (0, 0))),
+            lambda target: target.id in suspected,
+            "a",
+            now,
+            rng,
+        ).id
+        for _ in range(100)
+    )
+
+
+class TestChooseTarget:
+    """The order of targets."""
+
+    def test_there_may_be_none(self):
+        """A service without targets has no choice."""
+        assert choose_target([], None, None, "a", 0.0, random.Random(1)) is None
+
+    def test_the_least_loaded_target_is_chosen(self):
+        """Requests in progress count for each slot."""
+        targets = [build_target(1, slots=1), build_target(2, slots=3)]
+        assert choose(targets, {"i-0001": (1, 0), "i-0002": (2, 0)}) == {"i-0002": 100}
+
+    def test_targets_of_the_own_zone_come_first_unless_they_are_fuller(self):
+        """Traffic between zones costs and breaks in a cut."""
+        targets = [build_target(1), build_target(2, zone="b")]
+        assert choose(targets, {"i-0001": (1, 0)}) == {"i-0001": 100}
+        assert choose(targets, {"i-0001": (3, 0)}) == {"i-0002": 100}
+
+    def test_suspected_targets_come_last(self):
+        """Even an overloaded one is better."""
+        targets = [build_target(1), build_target(2, zone="b")]
+        assert choose(targets, {"i-0002": (50, 0)}, {"i-0001"}) == {"i-0002": 100}
+
+    def test_cold_targets_take_less(self):
+        """They work slower for some seconds."""
+        targets = [build_target(1, cold_until=5.0), build_target(2)]
+        assert choose(targets, {"i-0002": (0, 0)}, now=1.0) == {"i-0002": 100}
+        assert len(choose(targets, now=6.0)) == 2
+
+    def test_idle_flows_count_a_little(self):
+        """They will bring requests."""
+        targets = [build_target(1), build_target(2)]
+        assert choose(targets, {"i-0001": (0, 20)}) == {"i-0002": 100}
+
+    def test_equals_are_chosen_at_random(self):
+        """Hosts with the same picture do not all choose the same target."""
+        assert len(choose([build_target(1), build_target(2)])) == 2
+
+
+class TestChooseService:
+    """Routes that lead to several services."""
+
+    def test_weights_are_kept(self):
+        """New flows go to services by weight."""
+        rng = random.Random(1)
+        counts = Counter(choose_service([("x", 90), ("y", 10)], rng) for _ in range(2_000))
+        assert 0.07 < counts["y"] / 2_000 < 0.13
--- /dev/null
+++ b/packages/godwitway/tests/steering/test_rotation.py
@@ -0,0 +1,138 @@
+"""Tests of when a host asks for packets."""
+
+import random
+
+from steering_builders import SteeringWorld, build_report, build_target
+
+from godwitway.metrics import Metrics
+from godwitway.steering._loads import encode_report, zone_code
+from godwitway.steering._peers import Member, Peers
+from godwitway.steering._rotation import Rotation
+
+
+class ZoneWorld:
+    """A host of zone a with targets in zones a and b."""
+
+    def __init__(self, near: int, far: int) -> None:
+        targets = [build_target(n) for n in range(1, near + 1)]
+        targets += [build_target(n, zone="b") for n in range(101, 101 + far)]
+        self.world = SteeringWorld(*targets)
+        self.peers = Peers(
+            Member("host-1", "a", ("10.1.0.1", 7)),
+            self.world.steering,
+            lambda datagram, address: None,
+            lambda: (1, 1, 1),
+            random.Random(1),
+            Metrics(),
+            self.world.steering.journal,
+        )
+        self.rotation = Rotation(self.world.steering, self.peers)
+
+    def demand(self, requests: int) -> None:
+        """Let requests be in progress for a long time."""
+        for number in range(requests):
+            self.world.take(flow=b"flow-%d" % number, opening=True)
+        for _ in range(200):
+            self.rotation.update()
+
+    def suspect(self, zone: str) -> None:
+        """Suspect all targets of a zone."""
+        for target in self.world.steering.catalog.targets.values():
+            if target.zone == zone:
+                self.world.steering.evidence_of(target).suspect(self.world.clock.now())
+
+    def hear(self, number: int, **more) -> None:
+        """Hear a report of another host."""
+        (datagram,) = encode_report(build_report(boot=100 + number, **more))
+        self.peers.take(datagram, (f"10.1.0.{number}", 7))
+
+
+class TestCutZones:
+    """Zones that are cut off from the others."""
+
+    def test_a_zone_without_enough_slots_gives_its_callers_away(self):
+        """One target with three slots does not carry four requests."""
+        zone = ZoneWorld(near=1, far=5)
+        zone.demand(4)
+        zone.suspect("b")
+        zone.rotation.update()
+        assert zone.rotation.yielding == "zone_short"
+        assert zone.peers.cut_off
+
+    def test_a_zone_with_enough_slots_goes_on(self):
+        """Callers stay near."""
+        zone = ZoneWorld(near=2, far=5)
+        zone.demand(4)
+        zone.suspect("b")
+        zone.rotation.update()
+        assert not zone.rotation.yielding
+
+    def test_one_reachable_target_elsewhere_means_no_cut(self):
+        """The zone is not cut off."""
+        zone = ZoneWorld(near=1, far=2)
+        zone.demand(4)
+        zone.suspect("b")
+        target = zone.world.steering.catalog.targets["i-0065"]
+        zone.world.steering.evidence_of(target).clear()
+        zone.rotation.update()
+        assert not zone.rotation.yielding
+
+    def test_a_host_follows_the_others_of_its_zone(self):
+        """Routers use all hosts of a zone unless all of them yield."""
+        zone = ZoneWorld(near=1, far=2)
+        zone.suspect("b")
+        zone.rotation.update()
+        assert not zone.rotation.yielding
+        zone.hear(2, cut_off=True)
+        zone.rotation.update()
+        assert zone.rotation.yielding == "zone_short"
+
+    def test_a_host_that_reaches_no_target_leaves(self):
+        """Other hosts of its zone may reach them."""
+        zone = ZoneWorld(near=1, far=2)
+        zone.suspect("a")
+        zone.suspect("b")
+        zone.rotation.update()
+        assert zone.rotation.yielding == "isolated"
+
+    def test_demand_is_kept_while_the_zone_is_cut_off(self):
+        """It would fall to nothing once the callers have gone."""
+        zone = ZoneWorld(near=1, far=5)
+        zone.demand(4)
+        zone.suspect("b")
+        zone.rotation.update()
+        zone.world.clock.time += 2.0
+        zone.world.steering.table.expire(zone.world.clock.now(), 15.0)
+        for _ in range(200):
+            zone.rotation.update()
+        assert zone.rotation.yielding == "zone_short"
+
+
+class TestLeaving:
+    """Planned stops."""
+
+    def test_the_only_host_of_a_zone_leaves_at_once(self):
+        """Routers then use the nearest zones."""
+        assert ZoneWorld(near=1, far=1).rotation.may_leave()
+
+    def test_a_host_waits_while_too_few_others_serve(self):
+        """Routers would use all hosts, also the one that has gone."""
+        zone = ZoneWorld(near=1, far=1)
+        zone.hear(2, in_rotation=False)
+        zone.hear(3, in_rotation=True)
+        assert not zone.rotation.may_leave()
+        zone.hear(2, in_rotation=True)
+        assert zone.rotation.may_leave()
+
+    def test_silent_hosts_do_not_serve(self):
+        """A host that was heard a second ago may have gone."""
+        zone = ZoneWorld(near=1, far=1)
+        zone.hear(2, in_rotation=True)
+        zone.world.clock.time += 1.0
+        assert not zone.rotation.may_leave()
+
+    def test_hosts_of_other_zones_do_not_count(self):
+        """Routers look at one zone."""
+        zone = ZoneWorld(near=1, far=1)
+        zone.hear(2, in_rotation=False, zone=zone_code("b"))
+        assert zone.rotation.may_leave()
--- /dev/null
+++ b/packages/godwitway/tests/steering_builders.py
@@ -0,0 +1,153 @@
+"""Builders of test data for steering: targets, routes, packets and a host with recording ports."""
+
+import random
+from typing import Any
+
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
+from godwitway.steering import (
+    FleetConfig,
+    FlowPacket,
+    RequestKind,
+    Route,
+    ServiceTerms,
+    Steering,
+    Target,
+)
+from godwitway.steering._catalog import Catalog
+from godwitway.steering._loads import Report, zone_code
+
+BOARD = b"\x01\x00board"
+BID = b"\x02\x00bid"
+CATALOGUE = b"\x03\x00cat"
+
+
+class FakeClock:
+    """A clock that a test moves."""
+
+    def __init__(self, start: float = 100.0) -> None:
+        self.time = start
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self.time
+
+
+class RecordingPort:
+    """A port that records what a host sends."""
+
+    def __init__(self) -> None:
+        self.forwarded: list[tuple[FlowPacket, Target]] = []
+        self.refused: list[FlowPacket] = []
+
+    def forward(self, packet: FlowPacket, target: Target) -> None:
+        """Record a forwarded packet."""
+        self.forwarded.append((packet, target))
+
+    def refuse(self, packet: FlowPacket) -> None:
+        """Record a reset."""
+        self.refused.append(packet)
+
+    def request_id(self, packet: FlowPacket) -> str:
+        """Return a request id made of the packet's sequence number."""
+        return f"request-{packet.sequence}"
+
+
+def build_target(number: int, zone: str = "a", service: str = "desk", **more: Any) -> Target:
+    """Return a target."""
+    return Target(
+        f"i-{number:04x}", service, (f"10.0.0.{number}", 80), zone, more.pop("slots", 3), **more
+    )
+
+
+def build_config(version: int = 1, **more: Any) -> FleetConfig:
+    """Return a configuration with a route for each kind of request."""
+    routes = more.pop("routes", None) or [
+        Route("board", BOARD, RequestKind.IDEMPOTENT, [("desk", 1)], 2, 0.25, 1.5),
+        Route("bid", BID, RequestKind.AT_MOST_ONCE, [("desk", 1)], 1, 0.3, 2.0),
+        Route("catalogue", CATALOGUE, RequestKind.DOWNLOAD, [("store", 1)], 2, 0.5, 3.0),
+    ]
+    services = {name: ServiceTerms(name, "/health", 2000) for name in ("desk", "store")}
+    return FleetConfig(version, routes, services, more.pop("idle_timeout_s", 15.0))
+
+
+def build_packet(
+    flow: bytes = b"flow-1", to: bytes = BOARD, token: int = 0, **fields: Any
+) -> FlowPacket:
+    """Return a packet; `fields` override those of a bare acknowledgement."""
+    packet = FlowPacket()
+    packet.raw = b""
+    packet.flow = flow
+    packet.service_address = to
+    packet.token = token
+    packet.opening = packet.closing = packet.reset = packet.forged = False
+    packet.sequence = packet.acknowledged = packet.length = 0
+    for name, value in fields.items():
+        setattr(packet, name, value)
+    return packet
+
+
+def build_report(**more: Any) -> Report:
+    """Return a report."""
+    fields = {
+        "boot": 9,
+        "zone": zone_code("a"),
+        "config_version": 3,
+        "config_revision": 30,
+        "targets_revision": 40,
+        "in_rotation": True,
+        "cut_off": False,
+        "loads": [],
+    }
+    return Report(**(fields | more))
+
+
+class SteeringWorld:
+    """A host's steering with targets, a clock and recording ports.
+
+    Attributes:
+        clock: The clock.
+        port: What the host sent.
+        steering: The code under test.
+        lines: The log.
+    """
+
+    def __init__(self, *targets: Target, config: FleetConfig | None = None) -> None:
+        self.clock = FakeClock()
+        self.port = RecordingPort()
+        self.lines: list[dict[str, Any]] = []
+        catalog = Catalog()
+        catalog.apply_config(config or build_config())
+        for target in targets:
+            catalog.put_target(target)
+        self.steering = Steering(
+            self.port,
+            catalog,
+            "a",
+            self.clock.now,
+            random.Random(1),
+            Metrics(),
+            Journal("host-1", self.clock.now, self.lines.append, bytes.hex),
+        )
+        self.steering.ready = True
+
+    def take(self, after_s: float = 0.0, **fields: Any) -> None:
+        """Move the clock and let a packet arrive."""
+        self.clock.time += after_s
+        self.steering.take(build_packet(**fields))
+
+    def open(self, flow: bytes, to: bytes = BOARD) -> Target:
+        """Open a flow with its handshake and return the target that it is at."""
+        self.take(flow=flow, to=to, opening=True, sequence=0)
+        target = self.port.forwarded[-1][1]
+        self.take(0.01, flow=flow, to=to, token=target.token, sequence=1, acknowledged=1)
+        return target
+
+    def request(self, flow: bytes, target: Target, to: bytes = BOARD, **fields: Any) -> None:
+        """Let a request of 100 bytes arrive on an open flow."""
+        fields = {"sequence": 1, "acknowledged": 1, "length": 100} | fields
+        self.take(flow=flow, to=to, token=target.token, **fields)
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of one event."""
+        return [line for line in self.lines if line["event"] == name]
