Serve packets while the rest of the host's program is loading

Cause: after a loss of power the worst windows wait for hosts, and asyncio takes most of the time until a host serves. Decisions and state need no asyncio: they are a core of their own that reads the store once with a blocking call and takes packets between the imports. The result library, of which 16 of 59 ms until then were, is no longer on that path.

--- a/packages/godwitway/src/godwitway/checks.py
+++ b/packages/godwitway/src/godwitway/checks.py
@@ -3,13 +3,14 @@
 import json
 import socket
 from collections.abc import Callable
-from typing import Any
-
-from result import Err, Ok, Result
+from typing import TYPE_CHECKING, Any
 
 from godwitway.addresses import parse_address
 from godwitway.errors import ErrorKind, Problem
 
+if TYPE_CHECKING:
+    from result import Result
+
 __all__ = [
     "REQUIRED",
     "Checker",
@@ -23,6 +24,7 @@
     "load_jsonc",
     "number",
     "object_of",
+    "parse_jsonc",
     "text",
 ]
 
@@ -50,8 +52,10 @@
         """Add a problem with a field."""
         self.problems.append(Problem(ErrorKind.INVALID_FIELD, message, field))
 
-    def result(self, value: Any) -> Result[Any, list[Problem]]:
+    def result(self, value: Any) -> "Result[Any, list[Problem]]":
         """Return the value, or all problems when there are any."""
+        from result import Err, Ok  # Costs start-up time that steering hosts do not spend.
+
         return Err(self.problems) if self.problems else Ok(value)
 
 
@@ -206,22 +210,30 @@
     return shown if len(shown) <= 40 else shown[:37] + "..."
 
 
-def load_jsonc(document: str) -> Result[Any, list[Problem]]:
+def load_jsonc(document: str) -> "Result[Any, list[Problem]]":
     """Parse JSON with comments.
 
     >>> load_jsonc('{"a": 1} // one').ok()
     {'a': 1}
     """
+    checker = Checker()
+    return checker.result(parse_jsonc(document, checker))
+
+
+def parse_jsonc(document: str, checker: Checker) -> Any:
+    """Parse JSON with comments; what is wrong goes to the checker."""
     try:
-        return Ok(json.loads(document, object_pairs_hook=without_duplicates))
+        return json.loads(document, object_pairs_hook=without_duplicates)
     except (ValueError, RecursionError):
         pass  # Not plain JSON; the slower parser takes comments or says what is wrong.
     import json5  # Costs start-up time that a document without comments need not spend.
 
     try:
-        return Ok(json5.loads(document, allow_duplicate_keys=False))
+        return json5.loads(document, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
-        return Err([Problem(ErrorKind.BAD_JSON, f"not JSON with comments: {error}")])
+        problem = Problem(ErrorKind.BAD_JSON, f"not JSON with comments: {error}")
+        checker.problems.append(problem)
+        return None
 
 
 def without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -11,11 +11,16 @@
 import httptools
 
 from godwitway.addresses import Address
+from godwitway.http_messages import (
+    HttpError,
+    HttpResponse,
+    MessageCollector,
+    encode_request,
+)
 
 __all__ = ["HttpConnection", "HttpError", "HttpRequest", "HttpResponse", "serve_http"]
 
 READ_BYTES = 65_536
-MAX_BODY_BYTES = 4_194_304  # A page of the store is about 1 MB, a snapshot a few of them.
 KEEPALIVE_IDLE_S = 1  # Detects a silent connection well inside the 3 s bound for changes.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -24,21 +29,6 @@
 REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
-class HttpError(Exception):
-    """Raised when a connection failed or the peer does not speak HTTP/1.1."""
-
-
-class HttpResponse:
-    """A response with its whole body; header names are in lower case."""
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status: int, body: bytes, headers: dict[bytes, bytes]) -> None:
-        self.status = status
-        self.body = body
-        self.headers = headers
-
-
 class HttpRequest:
     """A request without a body."""
 
@@ -52,50 +42,6 @@
 Handler = Callable[[HttpRequest], Awaitable[tuple[int, bytes, str]]]
 
 
-class MessageCollector:
-    """Takes the parser's callbacks for one message after another.
-
-    Attributes:
-        url: The target of a request.
-        headers: The headers by name in lower case.
-        parts: The parts of the body.
-        size: The size of the body in bytes.
-        complete: Whether a message has ended.
-    """
-
-    __slots__ = ("complete", "headers", "parts", "size", "url")
-
-    def __init__(self) -> None:
-        self.on_message_begin()
-
-    def on_message_begin(self) -> None:
-        """Start a message."""
-        self.url = b""
-        self.headers: dict[bytes, bytes] = {}
-        self.parts: list[bytes] = []
-        self.size = 0
-        self.complete = False
-
-    def on_url(self, url: bytes) -> None:
-        """Take a part of the target."""
-        self.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        self.headers[name.lower()] = value
-
-    def on_body(self, body: bytes) -> None:
-        """Take a part of the body."""
-        self.size += len(body)
-        if self.size > MAX_BODY_BYTES:
-            raise ValueError(f"a body of more than {MAX_BODY_BYTES} bytes")
-        self.parts.append(body)
-
-    def on_message_complete(self) -> None:
-        """End a message."""
-        self.complete = True
-
-
 def detect_silence(writer: asyncio.StreamWriter) -> None:
     """Have the kernel probe a connection, so that one that went silent fails by itself."""
     connection: socket.socket = writer.get_extra_info("socket")
@@ -150,13 +96,7 @@
 
     async def exchange(self, method: str, target: str, body: bytes) -> HttpResponse:
         """Write one request and read its response."""
-        kind = "Content-Type: application/json\r\n" if body else ""
-        head = (
-            f"{method} {target} HTTP/1.1\r\n"
-            f"Host: {self.address[0]}:{self.address[1]}\r\n"
-            f"{kind}Content-Length: {len(body)}\r\n\r\n"
-        )
-        self.writer.write(head.encode("ascii") + body)
+        self.writer.write(encode_request(self.address, method, target, body))
         message = MessageCollector()
         parser = httptools.HttpResponseParser(message)
         while not message.complete:
--- a/packages/godwitway/src/godwitway/steering/__init__.py
+++ b/packages/godwitway/src/godwitway/steering/__init__.py
@@ -1,10 +1,11 @@
 """Steering by route tokens: what an entry host does on a platform whose flows carry their route.
 
-Importing this package must stay cheap, because hosts restart with a fifth of a core.
+Importing this package must stay cheap, because hosts restart with a fifth of a core; the tasks,
+which need asyncio, are in `godwitway.steering.node`.
 """
 
 from godwitway.steering._announcements import EntryError
-from godwitway.steering._feed import Changes, FleetStore
+from godwitway.steering._core import Formats, SteeringCore
 from godwitway.steering._model import (
     FleetConfig,
     FlowPacket,
@@ -13,8 +14,9 @@
     ServiceTerms,
     Target,
 )
-from godwitway.steering._node import Platform, SteeringNode
+from godwitway.steering._quick_start import load_while_serving
 from godwitway.steering._settings import (
+    SettingsError,
     SteeringSettings,
     check_steering_settings,
     read_steering_settings,
@@ -23,19 +25,19 @@
 
 __all__ = [
     "CallerPort",
-    "Changes",
     "EntryError",
     "FleetConfig",
-    "FleetStore",
     "FlowPacket",
-    "Platform",
+    "Formats",
     "RequestKind",
     "Route",
     "ServiceTerms",
+    "SettingsError",
     "Steering",
-    "SteeringNode",
+    "SteeringCore",
     "SteeringSettings",
     "Target",
     "check_steering_settings",
+    "load_while_serving",
     "read_steering_settings",
 ]
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -0,0 +1,226 @@
+"""What a steering host decides and believes, without the tasks that feed it.
+
+Nothing here needs asyncio, so a host serves while the rest of its program is still loading.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from godwitway.addresses import Address, format_address
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
+from godwitway.steering._announcements import Announcements
+from godwitway.steering._catalog import Catalog
+from godwitway.steering._model import FleetConfig, Target
+from godwitway.steering._peers import HOSTS_PREFIX, Member, Peers
+from godwitway.steering._replica import Replica
+from godwitway.steering._rotation import Rotation
+from godwitway.steering._settings import SteeringSettings
+from godwitway.steering._steering import CallerPort, Steering
+from godwitway.store import RangeResult
+
+__all__ = ["Formats", "SteeringCore"]
+
+LOG_BUDGET = 50  # Lines of one event a second; a line costs about 20 us.
+
+
+class Formats(Protocol):
+    """How the platform writes what a host reads.
+
+    Attributes:
+        config_prefix: What the configuration's key begins with.
+        targets_prefix: What the keys of targets begin with.
+    """
+
+    config_prefix: str
+    targets_prefix: str
+
+    def decode_config(self, value: bytes) -> FleetConfig:
+        """Decode the configuration; raises `EntryError`."""
+
+    def decode_target(self, key: str, value: bytes, now: float) -> Target:
+        """Decode a target's entry; raises `EntryError`."""
+
+    def format_flow(self, key: bytes) -> str:
+        """Return a flow's key as text."""
+
+
+class SteeringCore:
+    """The state of one host.
+
+    Attributes:
+        settings: The checked settings.
+        now: The process's clock in seconds.
+        rng: The process's random numbers.
+        metrics: Counters and histograms.
+        journal: The log of decisions.
+        catalog: Configuration and targets.
+        announcements: Keeps the catalog in step with the replicas.
+        config_replica: The copy of the configuration's key.
+        targets_replica: The copy of the targets' keys.
+        steering: Decides about packets.
+        peers: The other hosts.
+        rotation: Whether to ask for packets.
+        leaving: Whether the host has left the rotation for a planned stop.
+    """
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        formats: Formats,
+        port: CallerPort,
+        sink: Callable[[dict[str, Any]], None],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.settings = settings
+        self.now = now
+        self.rng = random.Random()
+        self.metrics = Metrics()
+        self.journal = Journal(settings.name, now, sink, formats.format_flow, LOG_BUDGET)
+        self.catalog = Catalog()
+        self.leaving = False
+        self.started_at = now()
+        self.announcements = Announcements(
+            self.catalog,
+            formats.decode_config,
+            formats.decode_target,
+            now,
+            self.metrics,
+            self.journal,
+        )
+        self.announcements.on_restart = self.target_restarted
+        self.config_replica = Replica(formats.config_prefix, self.announcements.config_changed)
+        self.targets_replica = Replica(formats.targets_prefix, self.announcements.target_changed)
+        self.steering = Steering(
+            port, self.catalog, settings.zone, now, self.rng, self.metrics, self.journal
+        )
+        self.peers = Peers(
+            Member(settings.name, settings.zone, settings.peer),
+            self.steering,
+            self.revisions,
+            self.rng,
+            self.metrics,
+            self.journal,
+        )
+        self.steering.peer_loads = self.peers.loads_at
+        self.rotation = Rotation(self.steering, self.peers)
+
+    def log_start(self) -> None:
+        """Log that the process has started."""
+        settings = self.settings
+        self.journal.event("start", zone=settings.zone, store=format_address(settings.store))
+
+    def apply_listing(self, listing: RangeResult) -> bool:
+        """Take over all keys of the store; returns whether there is a configuration."""
+        if not any(item.key.startswith(self.config_replica.prefix) for item in listing.items):
+            self.journal.event("no_configuration", revision=listing.revision)
+            return False
+        self.config_replica.apply_listing(listing.items, listing.revision)
+        self.targets_replica.apply_listing(listing.items, listing.revision)
+        self.peers.learn_members(
+            [item for item in listing.items if item.key.startswith(HOSTS_PREFIX)]
+        )
+        return self.begin()
+
+    def begin(self) -> bool:
+        """Serve from now on if there is a configuration; returns whether there is one."""
+        config = self.catalog.config
+        if config is None or self.steering.ready:
+            return config is not None
+        self.steering.ready = True
+        self.update_rotation()
+        self.journal.event(
+            "ready",
+            version=config.version,
+            targets=len(self.catalog.targets),
+            peers=len(self.peers.by_address),
+            took_s=round(self.now() - self.started_at, 3),
+        )
+        return True
+
+    def update_rotation(self) -> None:
+        """Decide anew whether to ask for packets, and tell the other hosts."""
+        self.rotation.update()
+        self.peers.in_rotation = (
+            self.steering.ready and not self.leaving and not self.rotation.yielding
+        )
+
+    def revisions(self) -> tuple[int, int, int]:
+        """Return the configuration's version, and the newest revisions of both replicas."""
+        version = self.catalog.config.version if self.catalog.config else 0
+        return version, self.config_replica.newest, self.targets_replica.newest
+
+    def target_restarted(self, target_id: str) -> None:
+        """Forget what was known of a target's earlier incarnation."""
+        self.steering.evidence.pop(target_id, None)
+
+    def expire(self) -> None:
+        """Forget what is old; called several times a second."""
+        now = self.now()
+        if self.catalog.config is not None:
+            self.steering.table.expire(now, self.catalog.config.idle_timeout_s)
+        self.announcements.expire_held()
+        self.catalog.forget_departed(now)
+        self.peers.forget_silent(now)
+
+    def forget_evidence(self) -> None:
+        """Drop the evidence about targets, as after a pause of this process."""
+        for evidence in self.steering.evidence.values():
+            evidence.clear()
+
+    def state(self) -> dict[str, Any]:
+        """Return what this host believes, for operators."""
+        now = self.now()
+        return {
+            "host": self.settings.name,
+            "zone": self.settings.zone,
+            "uptime_s": round(now - self.started_at, 3),
+            "ready": self.steering.ready,
+            "leaving": self.leaving,
+            "in_rotation": self.peers.in_rotation,
+            "yielding": self.rotation.yielding,
+            "demand": self.rotation.demand,
+            "config": {
+                "version": self.catalog.config.version if self.catalog.config else None,
+                "revision": self.config_replica.revision,
+                "routes": len(self.catalog.routes),
+            },
+            "targets_revision": self.targets_replica.revision,
+            "flows": len(self.steering.table.flows),
+            "targets": [self.target_state(target, now) for target in self.catalog.targets.values()],
+            "peers": {
+                format_address(address): self.peer_state(address, now)
+                for address in self.peers.by_address
+            },
+            "metrics": self.metrics.as_json(),
+        }
+
+    def peer_state(self, address: Address, now: float) -> dict[str, Any]:
+        """Return what this host knows of a peer."""
+        peer = self.peers.by_address[address]
+        return {
+            "alive": peer.alive(now),
+            "heard_s_ago": None if peer.heard_at is None else round(now - peer.heard_at, 3),
+            "config_version": peer.config_version,
+            "in_rotation": peer.in_rotation,
+        }
+
+    def target_state(self, target: Target, now: float) -> dict[str, Any]:
+        """Return what this host believes of a target."""
+        load = self.steering.view(target)
+        evidence = self.steering.evidence.get(target.id)
+        return {
+            "id": target.id,
+            "service": target.service,
+            "zone": target.zone,
+            "token": target.token,
+            "draining": target.draining,
+            "cold": now < target.cold_until,
+            "busy": load.busy,
+            "idle": load.idle,
+            "suspected": self.steering.suspected(target, now),
+            "stalled_flows": len(evidence.stalls) if evidence else 0,
+            "held": target.id in self.announcements.held,
+        }
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import random
-from typing import Protocol
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
 from godwitway.steering._replica import Replica
-from godwitway.store import CompactedError, KeyValue, RangeResult, StoreError, WatchEvent
+from godwitway.store import CompactedError, FleetStore, StoreError
 
-__all__ = ["Changes", "Feed", "FleetStore"]
+__all__ = ["Feed"]
 
 WAIT_S = 25.0  # A watch is one call; the store allows 30 s.
 PACE_S = 0.25  # Collects the events of one planned change into one call.
@@ -17,35 +16,6 @@
 BACKOFF_MAX_S = 1.0  # Leaves two seconds of the 3 s bound after the store's return.
 
 
-class Changes:
-    """Changes under a prefix, complete up to a revision."""
-
-    __slots__ = ("events", "revision")
-
-    def __init__(self, revision: int, events: list[WatchEvent]) -> None:
-        self.revision = revision
-        self.events = events
-
-
-class FleetStore(Protocol):
-    """The calls of the platform's store that steering makes; each may raise `StoreError`."""
-
-    async def range(self, prefix: str) -> RangeResult:
-        """Return all keys under a prefix."""
-
-    async def changes(self, prefix: str, revision: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, waiting for the first one."""
-
-    async def grant(self, ttl_s: float) -> int:
-        """Return a new lease."""
-
-    async def keep(self, lease: int) -> bool:
-        """Renew a lease; returns False when it has ended."""
-
-    async def put(self, item: KeyValue, lease: int) -> None:
-        """Write a key that is bound to a lease."""
-
-
 class Feed:
     """Follows one prefix of the store.
 
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_membership.py
@@ -0,0 +1,39 @@
+"""The tasks that make a host known to the others."""
+
+import asyncio
+
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
+from godwitway.steering._peers import HOSTS_PREFIX, REPORT_S, Member, Peers
+from godwitway.store import FleetStore, StoreError
+
+__all__ = ["keep_registered", "keep_reporting"]
+
+LEASE_S = 60.0
+RENEW_S = 20.0  # A third of the lease, so that one lost call does not end it.
+RETRY_S = 1.0
+
+
+async def keep_reporting(peers: Peers) -> None:
+    """Report to the other hosts for as long as the process lives."""
+    while True:
+        await asyncio.sleep(REPORT_S)
+        peers.report()
+
+
+async def keep_registered(
+    store: FleetStore, member: Member, journal: Journal, metrics: Metrics
+) -> None:
+    """Keep a host's key in the store for as long as the process lives."""
+    lease = 0
+    while True:
+        try:
+            if not lease or not await store.keep(lease):
+                lease = await store.grant(LEASE_S)
+                await store.put(member.item(), lease)
+                journal.event("registered", lease=lease)
+            await asyncio.sleep(RENEW_S)
+        except StoreError as error:
+            metrics.count("store_errors", HOSTS_PREFIX)
+            journal.event("registration_failed", reason=str(error))
+            await asyncio.sleep(RETRY_S)
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -1,31 +1,25 @@
-"""One entry host on the platform: wiring, start, upkeep and planned stop."""
+"""The tasks of one entry host on the platform: start, upkeep and planned stop."""
 
 import asyncio
 import binascii
 import json
-import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, Protocol
 
 from godwitway.addresses import Address, format_address
-from godwitway.http import HttpConnection, HttpError, HttpRequest, serve_http
-from godwitway.journal import Journal
+from godwitway.http import HttpConnection, HttpRequest, serve_http
+from godwitway.http_messages import HttpError
 from godwitway.metrics import Metrics
-from godwitway.steering._announcements import Announcements
-from godwitway.steering._catalog import Catalog
-from godwitway.steering._feed import Feed, FleetStore
+from godwitway.steering._core import SteeringCore
+from godwitway.steering._feed import Feed
 from godwitway.steering._loads import PeerLoads
-from godwitway.steering._model import FleetConfig, Target
-from godwitway.steering._peers import HOSTS_PREFIX, Member, Peers, keep_registered
+from godwitway.steering._membership import keep_registered, keep_reporting
 from godwitway.steering._probes import Probe, Probes
-from godwitway.steering._replica import Replica
-from godwitway.steering._rotation import Rotation
 from godwitway.steering._settings import SteeringSettings
-from godwitway.steering._steering import CallerPort, Steering
-from godwitway.store import KeyValue, RangeResult, StoreError
+from godwitway.store import FleetStore, KeyValue, StoreError
 
-__all__ = ["Platform", "SteeringNode"]
+__all__ = ["Links", "SteeringNode"]
 
 UPKEEP_S = 0.25
 SETTLE_EVERY = 8  # Histograms are brought up to date every two seconds.
@@ -38,31 +32,13 @@
 SEED_DELAY_S = 0.15  # The store answers in milliseconds unless it is slow or cut off.
 STOP_MARGIN_S = 0.5
 STOP_CHECK_S = 0.1
-LOG_BUDGET = 50  # Lines of one event a second; a line costs about 20 us.
 
 
-class Platform(Protocol):
-    """What the adapter of a platform provides."""
-
-    config_prefix: str
-    targets_prefix: str
+class Links(Protocol):
+    """The connections that the adapter of a platform provides."""
 
     def store(self, settings: SteeringSettings, metrics: Metrics) -> FleetStore:
-        """Return a client of the store."""
-
-    def decode_config(self, value: bytes) -> FleetConfig:
-        """Decode the configuration; raises `EntryError`."""
-
-    def decode_target(self, key: str, value: bytes, now: float) -> Target:
-        """Decode a target's entry; raises `EntryError`."""
-
-    def format_flow(self, key: bytes) -> str:
-        """Return a flow's key as text."""
-
-    async def open_packets(
-        self, settings: SteeringSettings, receive: Callable[[Any], None]
-    ) -> CallerPort:
-        """Open the port for callers' packets."""
+        """Return a client of the store with a connection of its own."""
 
     probe: Probe
 
@@ -70,120 +46,70 @@
 class PeerProtocol(asyncio.DatagramProtocol):
     """Takes reports of other hosts."""
 
-    def __init__(self, receive: Callable[[bytes, Address], None]) -> None:
-        self.receive = receive
+    def __init__(self, core: SteeringCore) -> None:
+        self.core = core
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Take one report."""
-        self.receive(data, addr)
+        self.core.peers.take(data, addr)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's host is gone; its silence is noticed anyway."""
 
 
 class SteeringNode:
-    """One entry host on the platform.
+    """Runs one entry host.
 
     Attributes:
-        settings: The checked settings.
-        platform: The adapter.
+        core: The host's state and decisions.
         stopping: Whether a planned stop has begun.
-        leaving: Whether the host has left the rotation for a planned stop.
+        stopped: Set when the planned stop is complete, or an essential task has failed.
+        failure: Why a task failed, if one did.
+        behind_since: Since when each peer has known of changes that this host lacks.
     """
 
-    def __init__(
-        self,
-        settings: SteeringSettings,
-        platform: Platform,
-        sink: Callable[[dict[str, Any]], None],
-    ) -> None:
-        self.settings = settings
-        self.platform = platform
-        self.now = asyncio.get_running_loop().time
-        self.rng = random.Random()
-        self.metrics = Metrics()
-        self.journal = Journal(settings.name, self.now, sink, platform.format_flow, LOG_BUDGET)
-        self.catalog = Catalog()
+    def __init__(self, core: SteeringCore, links: Links) -> None:
+        self.core = core
+        self.now = core.now
+        self.metrics = core.metrics
+        self.journal = core.journal
         self.background: set[asyncio.Task[None]] = set()
         self.stopping = False
-        self.leaving = False
-        self.behind_since: dict[Address, float] = {}
         self.stopped = asyncio.Event()
         self.failure: BaseException | None = None
-        self.started_at = self.now()
-        self.announcements = Announcements(
-            self.catalog,
-            platform.decode_config,
-            platform.decode_target,
-            self.now,
-            self.metrics,
-            self.journal,
-        )
-        self.config_replica = Replica(platform.config_prefix, self.announcements.config_changed)
-        self.targets_replica = Replica(platform.targets_prefix, self.announcements.target_changed)
-        self.store = platform.store(settings, self.metrics)
+        self.behind_since: dict[Address, float] = {}
+        self.replicas = (core.config_replica, core.targets_replica)
+        self.store = links.store(core.settings, core.metrics)
         self.feeds = [
             Feed(
-                platform.store(settings, self.metrics),
+                links.store(core.settings, core.metrics),
                 replica,
-                self.rng,
-                self.metrics,
-                self.journal,
+                core.rng,
+                core.metrics,
+                core.journal,
             )
-            for replica in (self.config_replica, self.targets_replica)
+            for replica in self.replicas
         ]
+        self.probes = Probes(core.steering, links.probe, self.spawn)
 
     async def run(self) -> None:
         """Serve until a planned stop is complete or a task has failed."""
-        settings = self.settings
-        self.journal.event("start", zone=settings.zone, store=format_address(settings.store))
-        port = await self.platform.open_packets(settings, lambda packet: self.steering.take(packet))
-        self.steering = Steering(
-            port,
-            self.catalog,
-            settings.zone,
-            self.now,
-            self.rng,
-            self.metrics,
-            self.journal,
-        )
-        self.announcements.on_restart = self.target_restarted
-        self.probes = Probes(self.steering, self.platform.probe, self.spawn)
+        core, settings = self.core, self.core.settings
         transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: PeerProtocol(self.report_received), local_addr=settings.peer
+            lambda: PeerProtocol(core), local_addr=settings.peer
         )
-        self.peers = Peers(
-            Member(settings.name, settings.zone, settings.peer),
-            self.steering,
-            transport.sendto,
-            self.revisions,
-            self.rng,
-            self.metrics,
-            self.journal,
-        )
-        self.peers.on_report = self.compare_revisions
-        self.steering.peer_loads = self.peers.loads_at
-        self.rotation = Rotation(self.steering, self.peers)
+        core.peers.send = transport.sendto
+        core.peers.on_report = self.compare_revisions
         servers = [
             await serve_http(settings.ready, self.handle_ready),
             await serve_http(settings.control, self.handle_control),
         ]
         await self.synchronize()
-        self.steering.ready = True
-        self.update_rotation()
-        self.journal.event(
-            "ready",
-            version=self.catalog.config.version,
-            targets=len(self.catalog.targets),
-            peers=len(self.peers.by_address),
-            took_s=round(self.now() - self.started_at, 3),
-            cpu_s=round(time.process_time(), 3),
-        )
         for job in (
             *(feed.run() for feed in self.feeds),
-            self.peers.run(),
+            keep_reporting(core.peers),
             self.upkeep(),
-            keep_registered(self.store, self.peers.own, self.journal, self.metrics),
+            keep_registered(self.store, core.peers.own, self.journal, self.metrics),
         ):
             self.spawn(job, essential=True)
         await self.stopped.wait()
@@ -214,28 +140,37 @@
     async def synchronize(self) -> None:
         """Learn configuration, targets and hosts from the store, or else from another host."""
         attempt = 0
-        while self.catalog.config is None:
+        while not self.core.begin():
             attempt += 1
             listing = asyncio.ensure_future(self.list_store())
             await asyncio.wait([listing], timeout=SEED_DELAY_S)
             if not listing.done():
                 await self.ask_hosts()
-            if self.catalog.config is not None:
-                # The feeds go on from the snapshot's revisions.
-                listing.cancel()
+            if self.core.begin():
+                listing.cancel()  # The feeds go on from the snapshot's revisions.
                 return
             if not await listing:
                 await self.ask_hosts()
                 await asyncio.sleep(START_RETRY_S * min(attempt, 5))
 
+    async def list_store(self) -> bool:
+        """Read all keys of the store; returns whether there is a configuration."""
+        try:
+            return self.core.apply_listing(await self.store.range(""))
+        except StoreError as error:
+            self.metrics.count("store_errors", "start")
+            self.journal.event("store_lost", prefix="", reason=str(error))
+            return False
+
     async def ask_hosts(self) -> None:
         """Take over the snapshot of a seed, or of a host that has reported to this one."""
+        settings = self.core.settings
         heard = [
-            (address[0], self.settings.control[1])
-            for address, peer in self.peers.by_address.items()
+            (address[0], settings.control[1])
+            for address, peer in self.core.peers.by_address.items()
             if peer.heard_at is not None
         ]
-        addresses = {*heard, *self.settings.seeds} - {self.settings.control}
+        addresses = {*heard, *settings.seeds} - {settings.control}
         tasks = [asyncio.ensure_future(self.fetch_snapshot(address)) for address in addresses]
         for task in asyncio.as_completed(tasks):
             if await task:
@@ -243,38 +178,20 @@
         for task in tasks:
             task.cancel()
 
-    async def list_store(self) -> bool:
-        """Read all keys of the store."""
-        try:
-            listing: RangeResult = await self.store.range("")
-        except StoreError as error:
-            self.metrics.count("store_errors", "start")
-            self.journal.event("store_lost", prefix="", reason=str(error))
-            return False
-        if not any(item.key.startswith(self.platform.config_prefix) for item in listing.items):
-            self.journal.event("no_configuration", revision=listing.revision)
-            return False
-        self.config_replica.apply_listing(listing.items, listing.revision)
-        self.targets_replica.apply_listing(listing.items, listing.revision)
-        self.peers.learn_members(
-            [item for item in listing.items if item.key.startswith(HOSTS_PREFIX)]
-        )
-        return self.catalog.config is not None
-
     async def fetch_snapshot(self, address: Address) -> bool:
         """Take over what another host knows; returns whether it knew enough."""
         connection = HttpConnection(address, SNAPSHOT_TIMEOUT_S)
         try:
             response = await connection.request("GET", "/snapshot", b"", SNAPSHOT_TIMEOUT_S)
-            document = json.loads(response.body) if response.status == 200 else None
+            if response.status != 200:
+                return False
+            document = json.loads(response.body)
         except (HttpError, ValueError) as error:
             self.journal.event("snapshot_failed", peer=format_address(address), reason=str(error))
             return False
         finally:
             connection.close()
-        if document is None:
-            return False
-        for replica in (self.config_replica, self.targets_replica):
+        for replica in self.replicas:
             part = document[replica.prefix]
             items = [
                 KeyValue(key, binascii.a2b_base64(value), revision)
@@ -285,10 +202,10 @@
         self.journal.event(
             "snapshot_taken",
             peer=format_address(address),
-            config_revision=self.config_replica.revision,
-            targets_revision=self.targets_replica.revision,
+            config_revision=self.core.config_replica.revision,
+            targets_revision=self.core.targets_replica.revision,
         )
-        return self.catalog.config is not None
+        return self.core.catalog.config is not None
 
     def snapshot(self) -> bytes:
         """Return what this host knows, for another host."""
@@ -305,28 +222,16 @@
                         for item in replica.items.values()
                     ],
                 }
-                for replica in (self.config_replica, self.targets_replica)
+                for replica in self.replicas
             }
         ).encode()
 
-    def revisions(self) -> tuple[int, int, int]:
-        """Return the configuration's version, and the revisions of both replicas."""
-        version = self.catalog.config.version if self.catalog.config else 0
-        return version, self.config_replica.newest, self.targets_replica.newest
-
-    def target_restarted(self, target_id: str) -> None:
-        """Forget what was known of a target's earlier incarnation."""
-        self.steering.evidence.pop(target_id, None)
-
-    def report_received(self, datagram: bytes, source: Address) -> None:
-        """Take a peer's report."""
-        self.peers.take(datagram, source)
-
     def compare_revisions(self, peer: PeerLoads) -> None:
         """Ask for changes that a peer has had for a while and this host has not."""
+        config_replica, targets_replica = self.replicas
         if (
-            peer.config_revision <= self.config_replica.revision
-            and peer.targets_revision <= self.targets_replica.revision
+            peer.config_revision <= config_replica.revision
+            and peer.targets_revision <= targets_replica.revision
         ):
             self.behind_since.pop(peer.address, None)
             return
@@ -338,12 +243,12 @@
             self.journal.event(
                 "behind_peer",
                 peer=format_address(peer.address),
-                config_revision=self.config_replica.revision,
-                targets_revision=self.targets_replica.revision,
+                config_revision=config_replica.revision,
+                targets_revision=targets_replica.revision,
                 peer_config_revision=peer.config_revision,
                 peer_targets_revision=peer.targets_revision,
             )
-            control = (peer.address[0], self.settings.control[1])
+            control = (peer.address[0], self.core.settings.control[1])
             self.spawn(self.catch_up(control))
 
     async def catch_up(self, address: Address) -> None:
@@ -359,17 +264,14 @@
         while True:
             await asyncio.sleep(UPKEEP_S)
             now, boot = self.now(), time.clock_gettime(time.CLOCK_BOOTTIME)
-            if max(now - last, boot - last_boot) > UPKEEP_S + PAUSE_S:
-                self.paused(max(now - last, boot - last_boot) - UPKEEP_S)
+            elapsed = max(now - last, boot - last_boot)
+            if elapsed > UPKEEP_S + PAUSE_S:
+                self.paused(elapsed - UPKEEP_S)
             last, last_boot = now, boot
             ticks += 1
-            idle_timeout_s = self.catalog.config.idle_timeout_s
-            self.steering.table.expire(now, idle_timeout_s)
-            self.announcements.expire_held()
-            self.catalog.forget_departed(now)
-            self.peers.forget_silent(now)
+            self.core.expire()
             self.probes.ask_suspected()
-            self.update_rotation()
+            self.core.update_rotation()
             if ticks % SETTLE_EVERY == 0:
                 self.metrics.settle()
 
@@ -377,18 +279,17 @@
         """Treat evidence and revisions as old after this process stood still."""
         self.metrics.count("pauses")
         self.journal.event("paused", seconds=round(seconds, 3))
-        for evidence in self.steering.evidence.values():
-            evidence.clear()
+        self.core.forget_evidence()
         for feed in self.feeds:
             feed.wake()
 
     async def handle_ready(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Answer the platform's question whether packets should come here."""
-        return (200 if self.peers.in_rotation else 503), b"{}", "application/json"
+        return (200 if self.core.peers.in_rotation else 503), b"{}", "application/json"
 
     async def handle_control(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Serve snapshots, metrics and the state dump."""
-        if request.path == "/snapshot" and self.catalog.config is not None:
+        if request.path == "/snapshot" and self.core.catalog.config is not None:
             return 200, self.snapshot(), "application/json"
         if request.path == "/metrics":
             return 200, self.metrics.exposition(), "text/plain; version=0.0.4"
@@ -398,66 +299,22 @@
 
     def state(self) -> dict[str, Any]:
         """Return what this host believes, for operators."""
-        now = self.now()
-        return {
-            "host": self.settings.name,
-            "zone": self.settings.zone,
-            "uptime_s": round(now - self.started_at, 3),
-            "ready": self.steering.ready,
-            "leaving": self.leaving,
-            "in_rotation": self.peers.in_rotation,
-            "yielding": self.rotation.yielding,
-            "demand": self.rotation.demand,
-            "config": {
-                "version": self.catalog.config.version if self.catalog.config else None,
-                "revision": self.config_replica.revision,
-                "routes": len(self.catalog.routes),
-            },
-            "targets_revision": self.targets_replica.revision,
-            "store_connected": {feed.replica.prefix: feed.connected for feed in self.feeds},
-            "flows": len(self.steering.table.flows),
-            "targets": [self.target_state(target, now) for target in self.catalog.targets.values()],
-            "peers": {
-                format_address(peer.address): {
-                    "alive": peer.alive(now),
-                    "heard_s_ago": None if peer.heard_at is None else round(now - peer.heard_at, 3),
-                    "config_version": peer.config_version,
-                }
-                for peer in self.peers.by_address.values()
-            },
-            "metrics": self.metrics.as_json(),
-        }
-
-    def target_state(self, target: Target, now: float) -> dict[str, Any]:
-        """Return what this host believes of a target."""
-        load = self.steering.view(target)
-        evidence = self.steering.evidence.get(target.id)
-        return {
-            "id": target.id,
-            "service": target.service,
-            "zone": target.zone,
-            "token": target.token,
-            "draining": target.draining,
-            "cold": now < target.cold_until,
-            "busy": load.busy,
-            "idle": load.idle,
-            "suspected": self.steering.suspected(target, now),
-            "stalled_flows": len(evidence.stalls) if evidence else 0,
-            "held": target.id in self.announcements.held,
-        }
+        connected = {feed.replica.prefix: feed.connected for feed in self.feeds}
+        return self.core.state() | {"store_connected": connected}
 
     def reload(self, settings: SteeringSettings | None) -> None:
         """Take over changed settings; those that name sockets need a restart."""
         if settings is None:
             self.journal.event("reload_failed", reason="the settings file has errors")
             return
+        present = self.core.settings
         needs_restart = [
             name
             for name in ("name", "zone", "packets", "ready", "control", "peer", "store")
-            if getattr(settings, name) != getattr(self.settings, name)
+            if getattr(settings, name) != getattr(present, name)
         ]
-        self.settings.seeds = settings.seeds
-        self.settings.stop_bound_s = settings.stop_bound_s
+        present.seeds = settings.seeds
+        present.stop_bound_s = settings.stop_bound_s
         self.journal.event("reloaded", needs_restart=needs_restart)
 
     async def stop(self) -> None:
@@ -465,25 +322,19 @@
         if self.stopping:
             return
         self.stopping = True
+        core = self.core
         began = self.now()
-        bound = began + self.settings.stop_bound_s - STOP_MARGIN_S
-        self.journal.event("stopping", flows=len(self.steering.table.flows))
-        while not self.rotation.may_leave() and self.now() < bound - LEAVE_S - QUIET_S:
+        bound = began + core.settings.stop_bound_s - STOP_MARGIN_S
+        self.journal.event("stopping", flows=len(core.steering.table.flows))
+        while not core.rotation.may_leave() and self.now() < bound - LEAVE_S - QUIET_S:
             await asyncio.sleep(STOP_CHECK_S)
-        self.leaving = True
-        self.update_rotation()
+        core.leaving = True
+        core.update_rotation()
         left = self.now()
         self.journal.event("left_rotation", waited_s=round(left - began, 3))
         while self.now() < bound:
             await asyncio.sleep(STOP_CHECK_S)
             now = self.now()
-            if now - left > LEAVE_S and now - self.steering.last_packet_at > QUIET_S:
+            if now - left > LEAVE_S and now - core.steering.last_packet_at > QUIET_S:
                 break
         self.stopped.set()
-
-    def update_rotation(self) -> None:
-        """Decide anew whether to ask for packets, and tell the other hosts."""
-        self.rotation.update()
-        self.peers.in_rotation = (
-            self.steering.ready and not self.leaving and not self.rotation.yielding
-        )
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -1,6 +1,5 @@
 """The other hosts: how they are found, what they report, and what this host reports to them."""
 
-import asyncio
 import json
 import random
 from collections.abc import Callable
@@ -8,7 +7,6 @@
 from godwitway.addresses import Address, format_address, parse_address
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
-from godwitway.steering._feed import FleetStore
 from godwitway.steering._loads import (
     PeerLoads,
     Report,
@@ -18,14 +16,11 @@
 )
 from godwitway.steering._model import Target
 from godwitway.steering._steering import Steering
-from godwitway.store import KeyValue, StoreError
+from godwitway.store import KeyValue
 
-__all__ = ["HOSTS_PREFIX", "Member", "Peers", "keep_registered"]
+__all__ = ["HOSTS_PREFIX", "REPORT_S", "Member", "Peers"]
 
 HOSTS_PREFIX = "hosts/"
-LEASE_S = 60.0
-RENEW_S = 20.0  # A third of the lease, so that one lost call does not end it.
-RETRY_S = 1.0
 REPORT_S = 0.1  # Slower reports let bursts pile up at one target: p99 485 ms at 0.25 s.
 REFRESH_TICKS = 5  # An unchanged host is heard twice a second.
 REPEAT_TICKS = 2  # A lost report is made up for by the next one.
@@ -77,7 +72,6 @@
         self,
         own: Member,
         steering: Steering,
-        send: Callable[[bytes, Address], None],
         revisions: Callable[[], tuple[int, int, int]],
         rng: random.Random,
         metrics: Metrics,
@@ -86,7 +80,7 @@
         self.own = own
         self.boot = rng.getrandbits(32)
         self.steering = steering
-        self.send = send
+        self.send: Callable[[bytes, Address], None] = lambda datagram, address: None
         self.revisions = revisions
         self.metrics = metrics
         self.journal = journal
@@ -219,27 +213,3 @@
             if peer.heard_at is not None and now - peer.heard_at > FORGET_S:
                 del self.by_address[address]
                 self.journal.event("peer_forgotten", peer=format_address(address))
-
-    async def run(self) -> None:
-        """Report for as long as the process lives."""
-        while True:
-            await asyncio.sleep(REPORT_S)
-            self.report()
-
-
-async def keep_registered(
-    store: FleetStore, member: Member, journal: Journal, metrics: Metrics
-) -> None:
-    """Keep a host's key in the store for as long as the process lives."""
-    lease = 0
-    while True:
-        try:
-            if not lease or not await store.keep(lease):
-                lease = await store.grant(LEASE_S)
-                await store.put(member.item(), lease)
-                journal.event("registered", lease=lease)
-            await asyncio.sleep(RENEW_S)
-        except StoreError as error:
-            metrics.count("store_errors", HOSTS_PREFIX)
-            journal.event("registration_failed", reason=str(error))
-            await asyncio.sleep(RETRY_S)
--- a/packages/godwitway/src/godwitway/steering/_settings.py
+++ b/packages/godwitway/src/godwitway/steering/_settings.py
@@ -1,16 +1,31 @@
 """The settings of a steering host, read from JSON with comments and checked whole."""
 
-from result import Err, Result
-
 from godwitway.addresses import Address
-from godwitway.checks import Checker, Field, address, list_of, load_jsonc, number, object_of, text
+from godwitway.checks import Checker, Field, address, list_of, number, object_of, parse_jsonc, text
 from godwitway.errors import ErrorKind, Problem
 
-__all__ = ["SteeringSettings", "check_steering_settings", "read_steering_settings"]
+__all__ = [
+    "SettingsError",
+    "SteeringSettings",
+    "check_steering_settings",
+    "read_steering_settings",
+]
 
 DEFAULT_STOP_BOUND_S = 6.0
 
 
+class SettingsError(Exception):
+    """Raised for a settings document with errors.
+
+    The `result` library would say so by its own type, but takes a quarter of the time until a host
+    serves to import.
+    """
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
 class SteeringSettings:
     """The settings of one host on the platform.
 
@@ -77,21 +92,25 @@
 )
 
 
-def check_steering_settings(document: str) -> Result[SteeringSettings, list[Problem]]:
-    """Check a settings document and report every error in it at once."""
-    parsed = load_jsonc(document)
-    if parsed.is_err():
-        return parsed
+def check_steering_settings(document: str) -> SteeringSettings:
+    """Check a settings document.
+
+    Raises:
+        SettingsError: It has errors; all of them are reported at once.
+    """
     checker = Checker()
-    settings = CHECK_SETTINGS(parsed.unwrap(), "", checker)
-    return checker.result(settings)
+    parsed = parse_jsonc(document, checker)
+    settings = None if checker.problems else CHECK_SETTINGS(parsed, "", checker)
+    if checker.problems:
+        raise SettingsError(checker.problems)
+    return settings
 
 
-def read_steering_settings(path: str) -> Result[SteeringSettings, list[Problem]]:
-    """Read and check a settings file."""
+def read_steering_settings(path: str) -> SteeringSettings:
+    """Read and check a settings file; raises `SettingsError`."""
     try:
         with open(path, encoding="utf-8") as file:  # noqa: PTH123 - pathlib costs start-up time.
             document = file.read()
     except (OSError, UnicodeDecodeError) as error:
-        return Err([Problem(ErrorKind.BAD_JSON, f"cannot read {path}: {error}")])
+        raise SettingsError([Problem(ErrorKind.BAD_JSON, f"cannot read it: {error}")]) from error
     return check_steering_settings(document)
--- a/packages/godwitway/src/godwitway/store.py
+++ b/packages/godwitway/src/godwitway/store.py
@@ -1,7 +1,11 @@
 """Keys of the platform's key-value service and the errors of its calls."""
 
+from typing import Protocol
+
 __all__ = [
+    "Changes",
     "CompactedError",
+    "FleetStore",
     "KeyValue",
     "RangeResult",
     "StoreError",
@@ -47,3 +51,32 @@
         self.key = key
         self.value = value
         self.mod_revision = mod_revision
+
+
+class Changes:
+    """Changes under a prefix, complete up to a revision."""
+
+    __slots__ = ("events", "revision")
+
+    def __init__(self, revision: int, events: list[WatchEvent]) -> None:
+        self.revision = revision
+        self.events = events
+
+
+class FleetStore(Protocol):
+    """The calls of the platform's store that steering makes; each may raise `StoreError`."""
+
+    async def range(self, prefix: str) -> RangeResult:
+        """Return all keys under a prefix."""
+
+    async def changes(self, prefix: str, revision: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first one."""
+
+    async def grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease; returns False when it has ended."""
+
+    async def put(self, item: KeyValue, lease: int) -> None:
+        """Write a key that is bound to a lease."""
--- a/packages/godwitway/tests/steering/test_loads.py
+++ b/packages/godwitway/tests/steering/test_loads.py
@@ -22,15 +22,16 @@
 
 def build_peers(world: SteeringWorld, sent: list, revisions=(3, 30, 40)) -> Peers:
     """Return the peers of a world's host."""
-    return Peers(
+    peers = Peers(
         Member("host-1", "a", ("10.1.0.1", 7)),
         world.steering,
-        lambda datagram, address: sent.append((datagram, address)),
         lambda: revisions,
         random.Random(1),
         Metrics(),
         world.steering.journal,
     )
+    peers.send = lambda datagram, address: sent.append((datagram, address))
+    return peers
 
 
 def datagram(**more) -> bytes:
--- a/packages/godwitway/tests/steering/test_rotation.py
+++ b/packages/godwitway/tests/steering/test_rotation.py
@@ -20,7 +20,6 @@
         self.peers = Peers(
             Member("host-1", "a", ("10.1.0.1", 7)),
             self.world.steering,
-            lambda datagram, address: None,
             lambda: (1, 1, 1),
             random.Random(1),
             Metrics(),
