--- /dev/null
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
@@ -0,0 +1,114 @@
+"""What the platform's pages promise, checked from what callers and targets see."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+
+from godwitway_standins.flows._caller import Attempt, Outcome
+from godwitway_standins.flows._segment import FlowKey
+from godwitway_standins.flows._target import FlowTarget
+
+__all__ = ["Bounds", "Judge"]
+
+
+class Bounds:
+    """The bounds of the platform's pages, in seconds."""
+
+    drain_s = 3.0
+    config_s = 3.0
+    stable_s = 4.0
+
+
+class Judge:
+    """Collects what was seen and reports each broken promise once it shows.
+
+    Attributes:
+        now: The clock in seconds.
+        broken: What went wrong, by the name of the promise.
+        disturbed: When each host, target or the store was last disturbed, by name.
+        sent: The kind of each request that a caller sent, by id.
+        runs: How often each request ran, by id.
+        outcomes: How requests ended.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.broken: list[tuple[str, str]] = []
+        self.disturbed: dict[str, float] = {}
+        self.sent: dict[str, str] = {}
+        self.at_most_once: set[str] = set()
+        self.runs: Counter[str] = Counter()
+        self.homes: dict[FlowKey, list[tuple[FlowTarget, str]]] = defaultdict(list)
+        self.allowed: dict[tuple[str, int], set[str]] = defaultdict(set)
+        self.dropped: dict[tuple[str, int], float] = {}
+        self.draining: dict[str, float] = {}
+        self.outcomes: list[Outcome] = []
+
+    def breach(self, promise: str, what: str) -> None:
+        """Take note of a broken promise."""
+        self.broken.append((promise, f"{self.now():.3f} {what}"))
+
+    def disturb(self, *names: str, until: float = 0.0) -> None:
+        """Take note that something is disturbed now, or up to a time."""
+        for name in names:
+            self.disturbed[name] = max(self.disturbed.get(name, 0.0), self.now(), until)
+
+    def calm(self, *names: str) -> bool:
+        """Whether nothing disturbed the given things for the span after which bounds hold."""
+        limit = self.now() - Bounds.stable_s
+        return all(self.disturbed.get(name, 0.0) < limit for name in names)
+
+    def configured(self, routes: dict[tuple[str, int], str]) -> None:
+        """Take note of a configuration that the store accepted."""
+        for address, service in routes.items():
+            self.allowed[address].add(service)
+            self.dropped.pop(address, None)
+        for address in self.allowed.keys() - routes.keys():
+            self.dropped.setdefault(address, self.now())
+
+    def took(self, target: FlowTarget, key: FlowKey, host: str) -> None:
+        """Check the opening packet of a flow."""
+        self.homes[key].append((target, host))
+        address = key[2:]
+        if target.service not in self.allowed[address]:
+            self.breach("ROUTE", f"{target.name} of {target.service} took a flow to {address}")
+        late = self.now() - self.draining.get(target.name, self.now())
+        if late > Bounds.drain_s and self.calm(host, "store", target.name):
+            self.breach("DRAIN", f"{target.name} took a flow {late:.2f} s after it began to drain")
+        late = self.now() - self.dropped.get(address, self.now())
+        if late > Bounds.config_s and self.calm(host, "store"):
+            self.breach("CONFIG", f"{host} used route {address} {late:.2f} s after it was dropped")
+
+    def ran(self, target: FlowTarget, request: str, key: FlowKey) -> None:
+        """Check a run of a request."""
+        if request not in self.sent:
+            self.breach("UNASKED", f"{target.name} ran {request}, which nobody sent")
+        self.runs[request] += 1
+
+    def forged(self, where: str) -> None:
+        """Take note of a packet that its sender did not write so."""
+        self.breach("UNASKED", f"{where} got a packet that nobody wrote so")
+
+    def reset(self, attempt: Attempt, by_target: bool) -> None:
+        """Check a reset of a caller's flow."""
+        if by_target or not attempt.opened or attempt.key[2:] in self.dropped:
+            return
+        for target, host in self.homes[attempt.key]:
+            calm = self.calm(host, "store", target.name, f"zone {target.zone}")
+            if target.alive and attempt.key in target.flows and calm:
+                self.breach("FLOW", f"{attempt.key} was reset while {target.name} serves it")
+
+    def ended(self, outcome: Outcome, repeatable: bool) -> None:
+        """Check how a request ended."""
+        self.outcomes.append(outcome)
+        ran = [self.runs[request] for request in outcome.attempts]
+        if outcome.result == "wrong":
+            self.breach("MIXED", f"{outcome.request} got an answer that is not its own")
+        if not repeatable and sum(ran) > 1:
+            self.breach("TWICE", f"{outcome.attempts} ran {ran} times")
+        if outcome.result == "refused" and ran[-1]:
+            self.breach("REFUSED", f"{outcome.request} was refused, though it ran")
+
+    def served_between(self, start: float, end: float) -> float:
+        """Return which part of the requests asked in a span was served."""
+        asked = [outcome for outcome in self.outcomes if start <= outcome.asked_at < end]
+        return sum(o.result == "served" for o in asked) / len(asked) if asked else 1.0
