Add a randomized fault soak of the entry programs

Hosts as real processes, the platform's parts in one process, a proxy between each host and the store; faults come from the seed. Each check is shown to fail on what it is meant to find.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 JOBS ?= 4
 REPLAYS ?= $(filter-out traces/demo.jsonl,$(wildcard traces/*.jsonl))
 
-.PHONY: demo test lint format bench bench-scale replay traces golden clean
+.PHONY: demo test lint format bench bench-scale replay soak traces golden clean
 
 .venv/installed: $(addsuffix /pyproject.toml,$(FOLDERS)) Makefile
 	$(PYTHON) -m venv .venv
@@ -36,6 +36,13 @@
 replay: .venv/installed
 	@ls $(REPLAYS) | xargs -P $(JOBS) -n 1 $(BIN)/godwitway-standin replay --scheme all
 
+SEEDS ?= 1 2 3 4 5 6
+SOAK_FOLDER ?= .soak
+
+# Runs the entry programs under randomized faults; SEEDS="7 8" runs others.
+soak: .venv/installed
+	$(BIN)/godwitway-standin soak $(addprefix --seed ,$(SEEDS)) --folder $(SOAK_FOLDER) --at-once 3
+
 traces: .venv/installed
 	rm -f traces/*.jsonl
 	$(BIN)/godwitway-standin make traces/demo.jsonl --seconds 25 --held 400 --seed 3 --imbalance 1.1
--- a/packages/godwitway-standins/src/godwitway_standins/cli.py
+++ b/packages/godwitway-standins/src/godwitway_standins/cli.py
@@ -28,6 +28,7 @@
 from godwitway_standins._replay import SCHEMES, replay_with_quiet
 from godwitway_standins._scenarios import SCENARIOS, make_scenario
 from godwitway_standins._trace import Outcomes, Trace, parse_event, read_trace, write_trace
+from godwitway_standins.soak import Soak
 
 __all__ = ["Standin", "main"]
 
@@ -289,7 +290,7 @@
     """Stand-ins for what surrounds godwitway, and the trace player."""
 
     command: cappa.Subcommands[
-        Platform | FabricCommand | Servers | Play | Make | MakeAll | Replay | Host
+        Platform | FabricCommand | Servers | Play | Make | MakeAll | Replay | Host | Soak
     ]
 
 
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_caller.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_caller.py
@@ -126,7 +126,9 @@
                 return
             segment, right = decode(raw)
             by_target = right
-            if not right and not (segment.flags == RST and not segment.data and raw[4:8] == bytes(4)):
+            if not right and not (
+                segment.flags == RST and not segment.data and raw[4:8] == bytes(4)
+            ):
                 self.on_forged(self.name)
                 continue
             self.take(segment, by_target)
@@ -193,8 +195,9 @@
         if attempt is None or attempt.ended or attempt.end.peer_closed:
             attempt = await self.open(to, deadline)
             if not attempt.opened:
+                ended = attempt.ended or "deadline"
                 self.forget(attempt)
-                return attempt.ended or "deadline", True
+                return ended, True
         attempt.answer = b""
         head = (
             f"POST /{kind.name} HTTP/1.1\r\nX-Godwitway-Request-Id: {request}\r\n"
@@ -204,8 +207,9 @@
         attempt.end.write(head.encode() + b"x" * kind.request_bytes)
         answer = await self.wait_for_answer(attempt, deadline)
         if answer is None:
+            ended = attempt.ended or "deadline"
             self.forget(attempt)
-            return attempt.ended or "deadline", kind.repeatable
+            return ended, kind.repeatable
         if kind.keeps_flow and not attempt.end.peer_closed:
             self.kept[to] = attempt
         else:
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
@@ -14,6 +14,7 @@
 HISTORY = 2_000
 PAGE_ITEMS = 500
 FOREVER_S = 3_600.0
+CLOSE_S = 0.1
 
 
 @dataclass(slots=True)
@@ -89,7 +90,7 @@
                 web.delete("/kv-lease-end/{lease}", self.handle(self.end_lease)),
             ]
         )
-        self.runner = web.AppRunner(app, access_log=None)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         await self.runner.setup()
         await web.TCPSite(self.runner, ip, port).start()
 
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_segment.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_segment.py
@@ -28,7 +28,7 @@
         source: The sender's address and port.
         destination: The receiver's address and port.
         sequence: The number of the first data byte.
-        acknowledged: The next byte that the sender expects; for an opening packet its copy's number.
+        acknowledged: The next byte that the sender expects; the copy's number in a first packet.
         data: The data.
     """
 
@@ -95,7 +95,9 @@
 
 def decode(raw: bytes) -> tuple[Segment, bool]:
     """Return the packet and whether its sum is right."""
-    echo, total, flags, dport, dst, src, sport, length, sequence, acknowledged = HEAD.unpack_from(raw)
+    echo, total, flags, dport, dst, src, sport, length, sequence, acknowledged = HEAD.unpack_from(
+        raw
+    )
     segment = Segment(
         (text(src), sport),
         (text(dst), dport),
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_target.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_target.py
@@ -155,7 +155,10 @@
         await reader.readline()
         status = b"503 Service Unavailable" if self.draining else b"200 OK"
         writer.write(
-            b"HTTP/1.1 " + status + b"\r\nX-Godwitway-Instance-Id: " + self.name.encode()
+            b"HTTP/1.1 "
+            + status
+            + b"\r\nX-Godwitway-Instance-Id: "
+            + self.name.encode()
             + b"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         )
         writer.close()
--- /dev/null
+++ b/packages/godwitway-standins/tests/test_metadata_store.py
@@ -0,0 +1,136 @@
+"""Tests of the adapter's client of the store against the stand-in."""
+
+import asyncio
+
+import pytest
+from godwitway.metrics import Metrics
+from godwitway.store import CompactedError, KeyValue, StoreError
+from godwitway_platform import _store
+from godwitway_platform._pages import list_now
+from godwitway_platform._store import MetadataStore
+
+from godwitway_standins.flows import MetadataServer
+
+IP = "127.39.0.1"
+
+
+def play(scenario) -> None:
+    """Run a scenario with a store and a client."""
+
+    async def run() -> None:
+        server = MetadataServer()
+        await server.serve(IP, 8_169)
+        client = MetadataStore((IP, 8_169), Metrics())
+        try:
+            await scenario(server, client)
+        finally:
+            client.connection.close()
+            await server.close()
+
+    asyncio.run(run())
+
+
+class TestRange:
+    """Lists of keys."""
+
+    def test_all_pages_are_read(self):
+        """A page has at most 500 keys."""
+
+        async def scenario(server, client):
+            for number in range(1_100):
+                server.put(f"servers/i-{number:04x}", b"x")
+            listing = await client.range("servers/")
+            assert len(listing.items) == 1_100
+            assert listing.revision == server.revision
+            now = await asyncio.to_thread(list_now, (IP, 8_169), 5.0)
+            assert len(now.items) == 1_100
+
+        play(scenario)
+
+    def test_other_prefixes_are_left_out(self):
+        """Values come back as they were written."""
+
+        async def scenario(server, client):
+            server.put("op/config", b"\x00\xff")
+            server.put("servers/i-1", b"x")
+            (item,) = (await client.range("op/")).items
+            assert (item.key, item.value, item.mod_revision) == ("op/config", b"\x00\xff", 2)
+
+        play(scenario)
+
+
+class TestChanges:
+    """Watches."""
+
+    def test_events_come_as_soon_as_there_are_any(self):
+        """Deletions are events too."""
+
+        async def scenario(server, client):
+            waiting = asyncio.ensure_future(client.changes("servers/", server.revision, 5.0))
+            await asyncio.sleep(0.05)
+            server.put("servers/i-1", b"x")
+            changes = await waiting
+            assert [(event.key, event.value) for event in changes.events] == [("servers/i-1", b"x")]
+            server.delete("servers/i-1")
+            changes = await client.changes("servers/", changes.revision, 5.0)
+            assert changes.events[0].value is None
+
+        play(scenario)
+
+    def test_a_lost_history_is_told_apart(self):
+        """The host then lists anew."""
+
+        async def scenario(server, client):
+            server.put("op/config", b"1")
+            server.compact()
+            with pytest.raises(CompactedError):
+                await client.changes("op/config", 1, 1.0)
+
+        play(scenario)
+
+
+class TestLeases:
+    """Keys that are bound to a lease."""
+
+    def test_a_key_goes_with_its_lease(self):
+        """A renewal says whether the lease still runs."""
+
+        async def scenario(server, client):
+            lease = await client.grant(0.2)
+            await client.put(KeyValue("hosts/a/x", b"1", 0), lease)
+            assert await client.keep(lease)
+            await asyncio.sleep(0.3)
+            assert not await client.keep(lease)
+            assert not (await client.range("hosts/")).items
+
+        play(scenario)
+
+
+class TestFaults:
+    """Calls that get no usable answer."""
+
+    @pytest.mark.parametrize("down", ["busy", "reset", "silent"])
+    def test_a_store_that_is_down_is_an_error_within_a_second(self, down, monkeypatch):
+        """The next call after its return works."""
+        monkeypatch.setattr(_store, "CALL_S", 0.3)
+
+        async def scenario(server, client):
+            server.faults.down = down
+            with pytest.raises(StoreError):
+                await client.expect("GET", "/kv-range?prefix=", None, 0.3)
+            server.faults.down = ""
+            assert (await client.range("")).items == []
+
+        play(scenario)
+
+    def test_a_lost_answer_may_have_taken_effect(self):
+        """The caller does not know."""
+
+        async def scenario(server, client):
+            lease = await client.grant(5.0)
+            server.faults.lose_writes = True
+            with pytest.raises(StoreError):
+                await client.put(KeyValue("hosts/a/x", b"1", 0), lease)
+            assert "hosts/a/x" in server.items
+
+        play(scenario)
