--- a/packages/godwitway-standins/src/godwitway_standins/soak/_command.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_command.py
@@ -1,6 +1,7 @@
 """The command that runs soaks."""
 
 import asyncio
+import signal
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -41,6 +42,9 @@
 
     async def run_all(self) -> list[SoakReport]:
         """Run the seeds, some at a time, each on addresses of its own."""
+        # A cancelled run ends its hosts; without this SIGTERM would leave them behind.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         nets = asyncio.Queue[int]()
         for net in range(FIRST_NET, FIRST_NET + min(self.at_once, NETS)):
             nets.put_nowait(net)
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -181,7 +181,7 @@
             "leaving": self.leaving,
             "in_rotation": self.peers.in_rotation,
             "yielding": self.rotation.yielding,
-            "demand": self.rotation.demand,
+            "demand": self.rotation.demand(),
             "config": {
                 "version": self.catalog.config.version if self.catalog.config else None,
                 "revision": self.config_replica.revision,
--- a/packages/godwitway/src/godwitway/steering/_rotation.py
+++ b/packages/godwitway/src/godwitway/steering/_rotation.py
@@ -4,6 +4,7 @@
 """
 
 from godwitway.steering._catalog import Catalog
+from godwitway.steering._loads import PeerLoads
 from godwitway.steering._model import Target
 from godwitway.steering._peers import Peers
 from godwitway.steering._steering import Steering
@@ -20,14 +21,16 @@
     """Decides whether this host asks for packets.
 
     Attributes:
-        demand: Requests in progress for each service from this zone's hosts, smoothed.
+        totals: Requests in progress for each service from this zone's hosts, smoothed.
+        weight: How much of the smoothed totals comes from samples; 1 after many of them.
         yielding: Why this host gives its packets to others, or an empty string.
     """
 
     def __init__(self, steering: Steering, peers: Peers) -> None:
         self.steering = steering
         self.peers = peers
-        self.demand: dict[str, float] = {}
+        self.totals: dict[str, float] = {}
+        self.weight = 0.0
         self.yielding = ""
 
     def update(self) -> None:
@@ -41,10 +44,16 @@
             self.steering.journal.event(
                 "rotation",
                 reason=reason or "serving",
-                demand={name: round(value, 2) for name, value in self.demand.items()},
+                demand=self.demand(),
             )
         self.peers.cut_off = reason == "zone_short"
 
+    def demand(self) -> dict[str, float]:
+        """Return the usual requests in progress for each service from this zone's hosts."""
+        if not self.weight:
+            return {}
+        return {service: round(total / self.weight, 2) for service, total in self.totals.items()}
+
     def reason(self, now: float) -> str:
         """Return why others should serve this host's callers, or an empty string."""
         targets = self.open_targets(self.steering.catalog)
@@ -72,7 +81,8 @@
         for target in reachable:
             slots[target.service] = slots.get(target.service, 0) + target.slots
         return any(
-            demand > USABLE_SHARE * slots.get(service, 0) for service, demand in self.demand.items()
+            requests > USABLE_SHARE * slots.get(service, 0)
+            for service, requests in self.demand().items()
         )
 
     def peers_cut_off(self, now: float) -> bool:
@@ -80,7 +90,7 @@
         peers = self.zone_peers(now)
         return bool(peers) and 2 * sum(peer.cut_off for peer in peers) >= len(peers)
 
-    def zone_peers(self, now: float) -> list:
+    def zone_peers(self, now: float) -> list[PeerLoads]:
         """Return the live hosts of this zone but this one."""
         return [
             peer
@@ -90,16 +100,17 @@
 
     def sample_demand(self, now: float) -> None:
         """Take the present requests of this zone's hosts into the smoothed demand."""
-        busy: dict[str, float] = dict.fromkeys(self.demand, 0.0)
+        busy: dict[str, float] = dict.fromkeys(self.totals, 0.0)
         peers = self.zone_peers(now)
         for target in self.steering.catalog.targets.values():
             own = self.steering.table.loads.get(target.id)
             requests = own.busy if own else 0
             requests += sum(peer.loads.get(target.token, (0, 0))[0] for peer in peers)
             busy[target.service] = busy.get(target.service, 0.0) + requests
+        self.weight += DEMAND_SMOOTHING * (1.0 - self.weight)
         for service, requests in busy.items():
-            before = self.demand.get(service, 0.0)
-            self.demand[service] = before + DEMAND_SMOOTHING * (requests - before)
+            before = self.totals.get(service, 0.0)
+            self.totals[service] = before + DEMAND_SMOOTHING * (requests - before)
 
     def may_leave(self) -> bool:
         """Whether routers keep to the zone's other hosts when this one leaves.
--- a/packages/godwitway/tests/steering/test_rotation.py
+++ b/packages/godwitway/tests/steering/test_rotation.py
@@ -107,6 +107,21 @@
         assert zone.rotation.yielding == "zone_short"
 
 
+class TestDemand:
+    """The usual requests of a zone."""
+
+    def test_a_host_that_has_just_started_knows_it_from_few_samples(self):
+        """Its zone may be cut off seconds after its start."""
+        zone = ZoneWorld(near=1, far=5)
+        for number in range(4):
+            zone.world.take(flow=b"flow-%d" % number, opening=True)
+        zone.rotation.update()
+        assert zone.rotation.demand() == {"desk": 4.0}
+        zone.suspect("b")
+        zone.rotation.update()
+        assert zone.rotation.yielding == "zone_short"
+
+
 class TestLeaving:
     """Planned stops."""
 
