--- a/packages/godwitway-standins/src/godwitway_standins/soak/_command.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_command.py
@@ -17,6 +17,7 @@
 
 FIRST_NET = 40  # The second number of a run's loopback addresses; runs at once use others.
 NETS = 80
+INTERRUPTED = 130
 
 
 @dataclass
@@ -34,7 +35,10 @@
 
     def __call__(self) -> None:
         """Run all seeds; the exit code is 1 when a promise was broken."""
-        reports = asyncio.run(self.run_all())
+        try:
+            reports = asyncio.run(self.run_all())
+        except asyncio.CancelledError:
+            raise cappa.Exit("interrupted; all hosts were ended", code=INTERRUPTED) from None
         broken = sum(bool(report.broken) for report in reports)
         sys.stdout.write(f"{len(reports) - broken} passed, {broken} failed\n")
         if broken:
--- a/packages/godwitway-standins/tests/test_soak.py
+++ b/packages/godwitway-standins/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak: its checks, its plan, and two short runs of the real programs."""
 
 import asyncio
+from pathlib import Path
 
 import pytest
 
@@ -170,3 +171,35 @@
         assert report.broken == [], report.text()
         assert report.faults
         assert report.summary()["ended"]["served"] > 100
+
+
+class TestInterruption:
+    """A run that is ended from outside."""
+
+    def test_no_host_stays_behind(self, tmp_path):
+        """Hosts are ended by their ids, and none is started again."""
+
+        async def interrupt() -> None:
+            run = asyncio.ensure_future(run_soak(2, 30.0, Layout(net=36), tmp_path))
+            await asyncio.sleep(4.0)
+            run.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await run
+            await asyncio.sleep(1.0)
+
+        asyncio.run(interrupt())
+        folder = str(tmp_path).encode()
+        left = [
+            path
+            for path in Path("/proc").glob("[0-9]*/environ")
+            if path.exists() and folder in read_if_there(path)
+        ]
+        assert left == []
+
+
+def read_if_there(path: Path) -> bytes:
+    """Return a file's bytes, or nothing when its process has gone."""
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
