Let one or two hosts of a zone watch the store for the others

A host now watches when it comes first among the live hosts of its zone that reach the store; the others see a newer revision in the reports and ask one of the hosts that have it for what they lack. One copy of the store with one revision replaces the two; a watch waits 5 s, so that one that went silent ends before bounds hold again.

--- /dev/null
+++ b/packages/godwitway-standins/tests/test_recovery.py
@@ -0,0 +1,141 @@
+"""Tests of hosts that start, stop and fall behind, with the real programs."""
+
+import asyncio
+import json
+import signal
+
+from godwitway.http import HttpConnection
+
+from godwitway_standins.flows import FlowWorld
+from godwitway_standins.flows._world import CONTROL_PORT, Layout
+
+READY_S = 15.0
+
+
+def play(folder, net: int, scenario) -> FlowWorld:
+    """Run a scenario in a world whose hosts are ready."""
+
+    async def run() -> FlowWorld:
+        world = FlowWorld(Layout(net=net, zones="ab", hosts=2, callers=3), folder, 1)
+        try:
+            await world.start()
+            assert await world.all_ready(READY_S)
+            await scenario(world)
+        finally:
+            await world.close()
+        return world
+
+    return asyncio.run(run())
+
+
+async def state_of(host) -> dict:
+    """Return a host's state dump."""
+    connection = HttpConnection((host.ip, CONTROL_PORT), 1.0)
+    try:
+        response = await connection.request("GET", "/state", b"", 1.0)
+        return json.loads(response.body)
+    finally:
+        connection.close()
+
+
+def events_of(host, name: str) -> list[dict]:
+    """Return the log lines of one event."""
+    lines = [json.loads(line) for line in host.log.read_text().splitlines()]
+    return [line for line in lines if line["event"] == name]
+
+
+async def wait_until(condition, seconds: float) -> bool:
+    """Wait until a condition holds."""
+    for _ in range(int(seconds / 0.1)):
+        if condition():
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+class TestStart:
+    """Hosts that start while something is wrong."""
+
+    def test_a_host_that_starts_while_the_store_is_down_learns_from_another(self, tmp_path):
+        """It serves with what the other one knows."""
+
+        async def scenario(world):
+            world.store.faults.down = "busy"
+            host = world.hosts[0]
+            host.kill()
+            host.start()
+            assert await wait_until(lambda: len(events_of(host, "ready")) == 2, READY_S)
+            assert events_of(host, "changes_taken")[-1]["full"]
+            assert len((await state_of(host))["targets"]) == 8
+
+        play(tmp_path, 60, scenario)
+
+    def test_a_herd_that_starts_while_the_store_is_down_waits_for_it(self, tmp_path):
+        """Nobody knows anything; no flow is reset meanwhile."""
+
+        async def scenario(world):
+            world.store.faults.down = "reset"
+            for host in world.hosts:
+                host.kill()
+                host.start()
+            await asyncio.sleep(2.0)
+            assert all(len(events_of(host, "ready")) == 1 for host in world.hosts)
+            assert not any(events_of(host, "reset") for host in world.hosts)
+            world.store.faults.down = ""
+            assert await world.all_ready(READY_S)
+
+        play(tmp_path, 61, scenario)
+
+
+class TestChanges:
+    """Changes of the store that reach all hosts through a few."""
+
+    def test_a_change_reaches_every_host(self, tmp_path):
+        """Those that do not watch ask the ones that do, within the bound of 3 s."""
+
+        async def scenario(world):
+            await asyncio.sleep(2.0)
+            world.configure()
+            await asyncio.sleep(3.0)
+            states = [await state_of(host) for host in world.hosts]
+            assert {state["config"]["version"] for state in states} == {2}
+            assert sum(state["watches"] for state in states) == 2
+
+        play(tmp_path, 62, scenario)
+
+    def test_another_host_watches_when_one_dies(self, tmp_path):
+        """A change right after its death still arrives within the bound."""
+
+        async def scenario(world):
+            await asyncio.sleep(2.0)
+            watching = [host for host in world.hosts if (await state_of(host))["watches"]]
+            for host in watching:
+                host.kill()
+            world.configure()
+            await asyncio.sleep(3.0)
+            left = [host for host in world.hosts if host not in watching]
+            states = [await state_of(host) for host in left]
+            assert {state["config"]["version"] for state in states} == {2}
+
+        play(tmp_path, 63, scenario)
+
+
+class TestStop:
+    """Planned stops."""
+
+    def test_hosts_of_a_zone_leave_one_after_the_other(self, tmp_path):
+        """The second one waits until the first one is back or its time is up."""
+
+        async def scenario(world):
+            await asyncio.sleep(1.5)
+            first, second = [host for host in world.hosts if host.zone == "a"]
+            first.signal(signal.SIGTERM)
+            assert await wait_until(lambda: events_of(first, "left_rotation"), 2.0)
+            await asyncio.sleep(0.6)
+            second.signal(signal.SIGTERM)
+            assert await wait_until(second.ended, 7.0)
+            assert first.ended()
+            assert events_of(second, "left_rotation")[0]["waited_s"] > 1.0
+            assert [host.process.returncode for host in (first, second)] == [0, 0]
+
+        play(tmp_path, 64, scenario)
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -19,6 +19,7 @@
 from godwitway.steering._rotation import Rotation
 from godwitway.steering._settings import SteeringSettings
 from godwitway.steering._steering import CallerPort, Steering
+from godwitway.steering._watchers import watches
 from godwitway.store import RangeResult
 
 __all__ = ["Formats", "SteeringCore"]
@@ -30,11 +31,11 @@
     """How the platform writes what a host reads.
 
     Attributes:
-        config_prefix: What the configuration's key begins with.
+        config_key: The key of the configuration.
         targets_prefix: What the keys of targets begin with.
     """
 
-    config_prefix: str
+    config_key: str
     targets_prefix: str
 
     def decode_config(self, value: bytes) -> FleetConfig:
@@ -58,8 +59,7 @@
         journal: The log of decisions.
         catalog: Configuration and targets.
         announcements: Keeps the catalog in step with the replicas.
-        config_replica: The copy of the configuration's key.
-        targets_replica: The copy of the targets' keys.
+        replica: The copy of the store.
         steering: Decides about packets.
         peers: The other hosts.
         rotation: Whether to ask for packets.
@@ -91,15 +91,15 @@
             self.journal,
         )
         self.announcements.on_restart = self.target_restarted
-        self.config_replica = Replica(formats.config_prefix, self.announcements.config_changed)
-        self.targets_replica = Replica(formats.targets_prefix, self.announcements.target_changed)
+        self.replica = Replica((formats.config_key, formats.targets_prefix), self.key_changed)
+        self.formats = formats
         self.steering = Steering(
             port, self.catalog, settings.zone, now, self.rng, self.metrics, self.journal
         )
         self.peers = Peers(
             Member(settings.name, settings.zone, settings.peer),
             self.steering,
-            self.revisions,
+            self.versions,
             self.rng,
             self.metrics,
             self.journal,
@@ -112,16 +112,21 @@
         settings = self.settings
         self.journal.event("start", zone=settings.zone, store=format_address(settings.store))
 
+    def key_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        """Apply a change of the store to what it concerns; other keys are not ours."""
+        if key.startswith(self.formats.targets_prefix):
+            self.announcements.target_changed(key, value, revision)
+        elif key == self.formats.config_key:
+            self.announcements.config_changed(key, value, revision)
+        elif key.startswith(HOSTS_PREFIX):
+            self.peers.member_changed(key, value, revision)
+
     def apply_listing(self, listing: RangeResult) -> bool:
         """Take over all keys of the store; returns whether there is a configuration."""
-        if not any(item.key.startswith(self.config_replica.prefix) for item in listing.items):
+        if not any(item.key == self.formats.config_key for item in listing.items):
             self.journal.event("no_configuration", revision=listing.revision)
             return False
-        self.config_replica.apply_listing(listing.items, listing.revision)
-        self.targets_replica.apply_listing(listing.items, listing.revision)
-        self.peers.learn_members(
-            [item for item in listing.items if item.key.startswith(HOSTS_PREFIX)]
-        )
+        self.replica.apply_listing(listing.items, listing.revision)
         return self.begin()
 
     def begin(self) -> bool:
@@ -147,10 +152,21 @@
             self.steering.ready and not self.leaving and not self.rotation.yielding
         )
 
-    def revisions(self) -> tuple[int, int, int]:
-        """Return the configuration's version, and the newest revisions of both replicas."""
-        version = self.catalog.config.version if self.catalog.config else 0
-        return version, self.config_replica.newest, self.targets_replica.newest
+    def versions(self) -> tuple[int, int]:
+        """Return the configuration's version, and the revision of the newest change known."""
+        return self.catalog.config.version if self.catalog.config else 0, self.replica.newest
+
+    def watches(self) -> bool:
+        """Whether this host watches the store for its zone."""
+        peers = self.peers
+        return watches(
+            peers.boot,
+            peers.reaches_store,
+            peers.zone,
+            peers.by_address.values(),
+            self.now(),
+            peers.watchers(),
+        )
 
     def target_restarted(self, target_id: str) -> None:
         """Forget what was known of a target's earlier incarnation."""
@@ -184,10 +200,11 @@
             "demand": self.rotation.demand(),
             "config": {
                 "version": self.catalog.config.version if self.catalog.config else None,
-                "revision": self.config_replica.revision,
                 "routes": len(self.catalog.routes),
             },
-            "targets_revision": self.targets_replica.revision,
+            "revision": self.replica.revision,
+            "watches": self.watches(),
+            "reaches_store": self.peers.reaches_store,
             "flows": len(self.steering.table.flows),
             "targets": [self.target_state(target, now) for target in self.catalog.targets.values()],
             "peers": {
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -1,7 +1,8 @@
-"""Keeps a replica complete: one task for each prefix of the store."""
+"""Keeps the copy of the store complete, from the store or for a host that watches it."""
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
@@ -10,52 +11,67 @@
 
 __all__ = ["Feed"]
 
-WAIT_S = 25.0  # A watch is one call; the store allows 30 s.
-PACE_S = 0.25  # Collects the events of one planned change into one call.
+# A watch that went silent ends by itself before bounds hold again: the platform lets four seconds
+# pass after a disturbance, and then gives three for a change.
+WAIT_S = 5.0
+PACE_S = 0.4  # Collects the events of one planned change into one call.
 BACKOFF_FIRST_S = 0.2
 BACKOFF_MAX_S = 1.0  # Leaves two seconds of the 3 s bound after the store's return.
+LISTEN_S = 1.0  # A host that has started hears in this time which others watch.
+ELECTION_S = 0.2
 
 
 class Feed:
-    """Follows one prefix of the store.
+    """Follows the store while this host watches it.
 
     Attributes:
         store: The store.
         replica: What is kept complete.
-        connected: Whether the last call succeeded.
-        connected_at: When a call last succeeded.
+        watches: Whether this host watches for its zone.
+        on_reach: Called with whether a call was answered.
+        relist: Whether the next call is for all keys.
+        woken: Set when the store is to be asked anew.
     """
 
     def __init__(
         self,
         store: FleetStore,
         replica: Replica,
+        watches: Callable[[], bool],
+        on_reach: Callable[[bool], None],
         rng: random.Random,
         metrics: Metrics,
         journal: Journal,
     ) -> None:
         self.store = store
         self.replica = replica
+        self.watches = watches
+        self.on_reach = on_reach
         self.rng = rng
         self.metrics = metrics
         self.journal = journal
         self.connected = True
+        self.watching = False
         self.relist = False
         self.woken = asyncio.Event()
 
     def wake(self) -> None:
-        """Ask the store anew at once, because there are changes that this host lacks."""
+        """Ask the store anew at once, because a watch may be dead."""
         self.woken.set()
 
     async def run(self) -> None:
-        """Follow the prefix for as long as the process lives."""
+        """Follow the store for as long as the process lives."""
         backoff = BACKOFF_FIRST_S
+        await asyncio.sleep(LISTEN_S * self.rng.uniform(0.7, 1.3))
         while True:
+            if not self.elected():
+                await asyncio.sleep(ELECTION_S)
+                continue
             try:
                 changed = await self.step()
             except CompactedError:
                 self.metrics.count("store_compactions")
-                self.journal.event("history_lost", prefix=self.replica.prefix)
+                self.journal.event("history_lost", revision=self.replica.revision)
                 self.relist = True
                 continue
             except StoreError as error:
@@ -68,17 +84,23 @@
             if changed:
                 await asyncio.sleep(PACE_S)
 
+    def elected(self) -> bool:
+        """Whether this host watches; a change is logged."""
+        watching = self.watches()
+        if watching != self.watching:
+            self.watching = watching
+            self.journal.event("watch_begun" if watching else "watch_ended")
+        return watching
+
     async def step(self) -> bool:
         """Make one call; returns whether it brought changes."""
         if self.relist or not self.replica.listed:
-            listing = await self.store.range(self.replica.prefix)
+            listing = await self.store.range("")
             self.replica.apply_listing(listing.items, listing.revision)
             self.relist = False
             return True
         self.woken.clear()
-        call = asyncio.ensure_future(
-            self.store.changes(self.replica.prefix, self.replica.revision, WAIT_S)
-        )
+        call = asyncio.ensure_future(self.store.changes("", self.replica.revision, WAIT_S))
         waking = asyncio.ensure_future(self.woken.wait())
         try:
             await asyncio.wait([call, waking], return_when=asyncio.FIRST_COMPLETED)
@@ -94,15 +116,15 @@
 
     def lost(self, reason: str) -> None:
         """Log the loss of the store once."""
-        self.metrics.count("store_errors", self.replica.prefix)
+        self.metrics.count("store_errors", "watch")
+        self.on_reach(False)
         if self.connected:
             self.connected = False
-            self.journal.event("store_lost", prefix=self.replica.prefix, reason=reason)
+            self.journal.event("store_lost", call="watch", reason=reason)
 
     def regained(self) -> None:
         """Log the return of the store once."""
+        self.on_reach(True)
         if not self.connected:
             self.connected = True
-            self.journal.event(
-                "store_regained", prefix=self.replica.prefix, revision=self.replica.revision
-            )
+            self.journal.event("store_regained", revision=self.replica.revision)
--- a/packages/godwitway/src/godwitway/steering/_loads.py
+++ b/packages/godwitway/src/godwitway/steering/_loads.py
@@ -14,7 +14,7 @@
 __all__ = ["HEAD_BYTES", "PeerLoads", "Report", "decode_report", "encode_report", "zone_code"]
 
 MAGIC = 0x67774C32
-HEAD = struct.Struct("<IIIQQQB")
+HEAD = struct.Struct("<IIIQQB")
 ENTRY = struct.Struct("<IHBB")
 HEAD_BYTES = HEAD.size
 MAX_ENTRIES = 140  # Keeps a report within one packet of 1,200 bytes.
@@ -23,6 +23,7 @@
 SUSPECTED = 1
 IN_ROTATION = 1
 CUT_OFF = 2
+REACHES_STORE = 4
 PEER_TIMEOUT_S = 2.5
 
 
@@ -38,21 +39,21 @@
         boot: A random number of the sender's process.
         zone: The code of the sender's zone.
         config_version: The version of the configuration in force there.
-        config_revision: The store's revision of what it knows of the configuration.
-        targets_revision: The store's revision of what it knows of the targets.
+        newest: The revision of the newest change of the store that it knows of.
         in_rotation: Whether the sender asks for packets.
         cut_off: Whether the sender's zone is cut off and short of targets.
+        reaches_store: Whether the sender's last call of the store was answered.
         loads: For each route token: requests in progress, idle flows, whether it is suspected.
     """
 
     __slots__ = (
         "boot",
-        "config_revision",
         "config_version",
         "cut_off",
         "in_rotation",
         "loads",
-        "targets_revision",
+        "newest",
+        "reaches_store",
         "zone",
     )
 
@@ -61,19 +62,19 @@
         boot: int,
         zone: int,
         config_version: int,
-        config_revision: int,
-        targets_revision: int,
+        newest: int,
         in_rotation: bool,
         cut_off: bool,
+        reaches_store: bool,
         loads: list[tuple[int, int, int, bool]],
     ) -> None:
         self.boot = boot
         self.zone = zone
         self.config_version = config_version
-        self.config_revision = config_revision
-        self.targets_revision = targets_revision
+        self.newest = newest
         self.in_rotation = in_rotation
         self.cut_off = cut_off
+        self.reaches_store = reaches_store
         self.loads = loads
 
 
@@ -84,9 +85,10 @@
         report.boot,
         report.zone,
         report.config_version,
-        report.config_revision,
-        report.targets_revision,
-        IN_ROTATION * report.in_rotation | CUT_OFF * report.cut_off,
+        report.newest,
+        IN_ROTATION * report.in_rotation
+        | CUT_OFF * report.cut_off
+        | REACHES_STORE * report.reaches_store,
     )
     for start in range(0, max(1, len(report.loads)), MAX_ENTRIES):
         entries = b"".join(
@@ -102,9 +104,7 @@
     """Return the report of a datagram, or None when it is no report."""
     if len(datagram) < HEAD_BYTES or (len(datagram) - HEAD_BYTES) % ENTRY.size:
         return None
-    magic, boot, zone, version, config_revision, targets_revision, flags = HEAD.unpack_from(
-        datagram
-    )
+    magic, boot, zone, version, newest, flags = HEAD.unpack_from(datagram)
     if magic != MAGIC:
         return None
     loads = [
@@ -115,10 +115,10 @@
         boot,
         zone,
         version,
-        config_revision,
-        targets_revision,
+        newest,
         bool(flags & IN_ROTATION),
         bool(flags & CUT_OFF),
+        bool(flags & REACHES_STORE),
         loads,
     )
 
@@ -131,23 +131,23 @@
         boot: The random number of its process.
         heard_at: When its last report came, in seconds.
         loads: Requests in progress and idle flows by route token.
-        config_revision: The store's revision of its configuration.
-        targets_revision: The store's revision of its targets.
+        newest: The revision of the newest change of the store that it knows of.
         zone: The code of its zone, None until it is known.
         in_rotation: Whether it asks for packets.
         cut_off: Whether it says that its zone is cut off and short of targets.
+        reaches_store: Whether its last call of the store was answered.
     """
 
     __slots__ = (
         "address",
         "boot",
-        "config_revision",
         "config_version",
         "cut_off",
         "heard_at",
         "in_rotation",
         "loads",
-        "targets_revision",
+        "newest",
+        "reaches_store",
         "zone",
     )
 
@@ -157,8 +157,8 @@
         self.heard_at: float | None = None
         self.loads: dict[int, tuple[int, int]] = {}
         self.config_version = 0
-        self.config_revision = 0
-        self.targets_revision = 0
+        self.newest = 0
+        self.reaches_store = False
         self.zone: int | None = None
         self.in_rotation = False
         self.cut_off = False
--- a/packages/godwitway/src/godwitway/steering/_membership.py
+++ b/packages/godwitway/src/godwitway/steering/_membership.py
@@ -1,10 +1,11 @@
 """The tasks that make a host known to the others."""
 
 import asyncio
+from collections.abc import Callable
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
-from godwitway.steering._peers import HOSTS_PREFIX, REPORT_S, Member, Peers
+from godwitway.steering._peers import REPORT_S, Member, Peers
 from godwitway.store import FleetStore, StoreError
 
 __all__ = ["keep_registered", "keep_reporting"]
@@ -22,7 +23,11 @@
 
 
 async def keep_registered(
-    store: FleetStore, member: Member, journal: Journal, metrics: Metrics
+    store: FleetStore,
+    member: Member,
+    on_reach: Callable[[bool], None],
+    journal: Journal,
+    metrics: Metrics,
 ) -> None:
     """Keep a host's key in the store for as long as the process lives."""
     lease = 0
@@ -32,8 +37,10 @@
                 lease = await store.grant(LEASE_S)
                 await store.put(member.item(), lease)
                 journal.event("registered", lease=lease)
+            on_reach(True)
             await asyncio.sleep(RENEW_S)
         except StoreError as error:
-            metrics.count("store_errors", HOSTS_PREFIX)
+            on_reach(False)
+            metrics.count("store_errors", "register")
             journal.event("registration_failed", reason=str(error))
             await asyncio.sleep(RETRY_S)
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -16,6 +16,7 @@
 from godwitway.steering._loads import PeerLoads
 from godwitway.steering._membership import keep_registered, keep_reporting
 from godwitway.steering._probes import Probe, Probes
+from godwitway.steering._replica import Difference
 from godwitway.steering._settings import SteeringSettings
 from godwitway.store import FleetStore, KeyValue, StoreError
 
@@ -25,8 +26,9 @@
 SETTLE_EVERY = 8  # Histograms are brought up to date every two seconds.
 PAUSE_S = 0.5  # A process that lost this much time treats its evidence as old.
 START_RETRY_S = 0.1
-SNAPSHOT_TIMEOUT_S = 1.0
-BEHIND_S = 0.7  # A watch brings a change sooner than this, pacing included.
+PEER_TIMEOUT_S = 1.0
+CHANGES_PATH = "/changes/"
+CATCH_UP_S = 0.25  # Spreads the hosts of a zone that ask a watching host for its changes.
 LEAVE_S = 1.2  # Routers take a host out of rotation after two probes, half a second apart.
 QUIET_S = 0.5  # After this long without a packet of a caller, none is on its way.
 SEED_DELAY_S = 0.15  # The store answers in milliseconds unless it is slow or cut off.
@@ -65,7 +67,7 @@
         stopping: Whether a planned stop has begun.
         stopped: Set when the planned stop is complete, or an essential task has failed.
         failure: Why a task failed, if one did.
-        behind_since: Since when each peer has known of changes that this host lacks.
+        catching_up: Whether changes of another host are being asked for.
     """
 
     def __init__(self, core: SteeringCore, links: Links) -> None:
@@ -77,19 +79,18 @@
         self.stopping = False
         self.stopped = asyncio.Event()
         self.failure: BaseException | None = None
-        self.behind_since: dict[Address, float] = {}
-        self.replicas = (core.config_replica, core.targets_replica)
+        self.catching_up = False
+        self.replica = core.replica
         self.store = links.store(core.settings, core.metrics)
-        self.feeds = [
-            Feed(
-                links.store(core.settings, core.metrics),
-                replica,
-                core.rng,
-                core.metrics,
-                core.journal,
-            )
-            for replica in self.replicas
-        ]
+        self.feed = Feed(
+            links.store(core.settings, core.metrics),
+            core.replica,
+            core.watches,
+            self.store_reached,
+            core.rng,
+            core.metrics,
+            core.journal,
+        )
         self.probes = Probes(core.steering, links.probe, self.spawn)
 
     async def run(self) -> None:
@@ -106,10 +107,12 @@
         ]
         await self.synchronize()
         for job in (
-            *(feed.run() for feed in self.feeds),
+            self.feed.run(),
             keep_reporting(core.peers),
             self.upkeep(),
-            keep_registered(self.store, core.peers.own, self.journal, self.metrics),
+            keep_registered(
+                self.store, core.peers.own, self.store_reached, self.journal, self.metrics
+            ),
         ):
             self.spawn(job, essential=True)
         await self.stopped.wait()
@@ -147,7 +150,7 @@
             if not listing.done():
                 await self.ask_hosts()
             if self.core.begin():
-                listing.cancel()  # The feeds go on from the snapshot's revisions.
+                listing.cancel()  # The feed goes on from what the host knew.
                 return
             if not await listing:
                 await self.ask_hosts()
@@ -159,11 +162,11 @@
             return self.core.apply_listing(await self.store.range(""))
         except StoreError as error:
             self.metrics.count("store_errors", "start")
-            self.journal.event("store_lost", prefix="", reason=str(error))
+            self.journal.event("store_lost", call="range", reason=str(error))
             return False
 
     async def ask_hosts(self) -> None:
-        """Take over the snapshot of a seed, or of a host that has reported to this one."""
+        """Take over what a seed knows, or a host that has reported to this one."""
         settings = self.core.settings
         heard = [
             (address[0], settings.control[1])
@@ -171,91 +174,62 @@
             if peer.heard_at is not None
         ]
         addresses = {*heard, *settings.seeds} - {settings.control}
-        tasks = [asyncio.ensure_future(self.fetch_snapshot(address)) for address in addresses]
+        tasks = [asyncio.ensure_future(self.fetch_changes(address)) for address in addresses]
         for task in asyncio.as_completed(tasks):
             if await task:
                 break
         for task in tasks:
             task.cancel()
 
-    async def fetch_snapshot(self, address: Address) -> bool:
-        """Take over what another host knows; returns whether it knew enough."""
-        connection = HttpConnection(address, SNAPSHOT_TIMEOUT_S)
+    async def fetch_changes(self, address: Address) -> bool:
+        """Take over what another host knows; returns whether there is a configuration then."""
+        connection = HttpConnection(address, PEER_TIMEOUT_S)
+        target = f"{CHANGES_PATH}{self.replica.revision if self.replica.listed else 0}"
         try:
-            response = await connection.request("GET", "/snapshot", b"", SNAPSHOT_TIMEOUT_S)
+            response = await connection.request("GET", target, b"", PEER_TIMEOUT_S)
             if response.status != 200:
                 return False
-            document = json.loads(response.body)
+            difference = decode_difference(response.body)
         except (HttpError, ValueError) as error:
-            self.journal.event("snapshot_failed", peer=format_address(address), reason=str(error))
+            self.journal.event("changes_failed", peer=format_address(address), reason=str(error))
             return False
         finally:
             connection.close()
-        for replica in self.replicas:
-            part = document[replica.prefix]
-            items = [
-                KeyValue(key, binascii.a2b_base64(value), revision)
-                for key, value, revision in part["items"]
-            ]
-            replica.apply_listing(items, part["revision"])
-        self.metrics.count("snapshots_taken")
-        self.journal.event(
-            "snapshot_taken",
-            peer=format_address(address),
-            config_revision=self.core.config_replica.revision,
-            targets_revision=self.core.targets_replica.revision,
-        )
+        if self.replica.apply(difference):
+            self.metrics.count("changes_taken", "all" if difference.full else "some")
+            self.journal.event(
+                "changes_taken",
+                peer=format_address(address),
+                full=difference.full,
+                revision=self.replica.revision,
+            )
         return self.core.catalog.config is not None
 
-    def snapshot(self) -> bytes:
-        """Return what this host knows, for another host."""
-        return json.dumps(
-            {
-                replica.prefix: {
-                    "revision": replica.revision,
-                    "items": [
-                        (
-                            item.key,
-                            binascii.b2a_base64(item.value, newline=False).decode(),
-                            item.mod_revision,
-                        )
-                        for item in replica.items.values()
-                    ],
-                }
-                for replica in self.replicas
-            }
-        ).encode()
+    def store_reached(self, reached: bool) -> None:
+        """Take note of whether a call of the store was answered."""
+        self.core.peers.reaches_store = reached
 
     def compare_revisions(self, peer: PeerLoads) -> None:
-        """Ask for changes that a peer has had for a while and this host has not."""
-        config_replica, targets_replica = self.replicas
-        if (
-            peer.config_revision <= config_replica.revision
-            and peer.targets_revision <= targets_replica.revision
-        ):
-            self.behind_since.pop(peer.address, None)
-            return
-        now = self.now()
-        since = self.behind_since.setdefault(peer.address, now)
-        if now - since > BEHIND_S:
-            del self.behind_since[peer.address]
-            self.metrics.count("behind_peer")
-            self.journal.event(
-                "behind_peer",
-                peer=format_address(peer.address),
-                config_revision=config_replica.revision,
-                targets_revision=targets_replica.revision,
-                peer_config_revision=peer.config_revision,
-                peer_targets_revision=peer.targets_revision,
-            )
-            control = (peer.address[0], self.core.settings.control[1])
-            self.spawn(self.catch_up(control))
+        """Ask for the changes that a peer has and this host has not."""
+        if peer.newest > self.replica.revision and not self.catching_up:
+            self.catching_up = True
+            self.spawn(self.catch_up())
 
-    async def catch_up(self, address: Address) -> None:
-        """Take over a peer's snapshot, and have the watches connect anew."""
-        await self.fetch_snapshot(address)
-        for feed in self.feeds:
-            feed.wake()
+    async def catch_up(self) -> None:
+        """Take over changes from one of the hosts that have them."""
+        try:
+            await asyncio.sleep(self.core.rng.uniform(0.0, CATCH_UP_S))
+            now = self.now()
+            ahead = [
+                peer.address
+                for peer in self.core.peers.by_address.values()
+                if peer.newest > self.replica.revision and peer.alive(now)
+            ]
+            if ahead:
+                ip, _ = self.core.rng.choice(ahead)
+                await self.fetch_changes((ip, self.core.settings.control[1]))
+        finally:
+            self.catching_up = False
 
     async def upkeep(self) -> None:
         """Expire what is old and notice pauses of this process."""
@@ -280,28 +254,25 @@
         self.metrics.count("pauses")
         self.journal.event("paused", seconds=round(seconds, 3))
         self.core.forget_evidence()
-        for feed in self.feeds:
-            feed.wake()
+        self.feed.wake()
 
     async def handle_ready(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Answer the platform's question whether packets should come here."""
         return (200 if self.core.peers.in_rotation else 503), b"{}", "application/json"
 
     async def handle_control(self, request: HttpRequest) -> tuple[int, bytes, str]:
-        """Serve snapshots, metrics and the state dump."""
-        if request.path == "/snapshot" and self.core.catalog.config is not None:
-            return 200, self.snapshot(), "application/json"
+        """Serve changes to other hosts, metrics and the state dump."""
+        if request.path.startswith(CHANGES_PATH) and self.core.catalog.config is not None:
+            revision = request.path.removeprefix(CHANGES_PATH)
+            if revision.isdecimal():
+                difference = self.replica.since(int(revision))
+                return 200, encode_difference(difference), "application/json"
         if request.path == "/metrics":
             return 200, self.metrics.exposition(), "text/plain; version=0.0.4"
         if request.path == "/state":
-            return 200, json.dumps(self.state()).encode(), "application/json"
+            return 200, json.dumps(self.core.state()).encode(), "application/json"
         return 404, b"{}", "application/json"
 
-    def state(self) -> dict[str, Any]:
-        """Return what this host believes, for operators."""
-        connected = {feed.replica.prefix: feed.connected for feed in self.feeds}
-        return self.core.state() | {"store_connected": connected}
-
     def reload(self, settings: SteeringSettings | None) -> None:
         """Take over changed settings; those that name sockets need a restart."""
         if settings is None:
@@ -338,3 +309,33 @@
             if now - left > LEAVE_S and now - core.steering.last_packet_at > QUIET_S:
                 break
         self.stopped.set()
+
+
+def encode_difference(difference: Difference) -> bytes:
+    """Return what another host lacks, as JSON."""
+    items = [
+        (item.key, binascii.b2a_base64(item.value, newline=False).decode(), item.mod_revision)
+        for item in difference.items
+    ]
+    return json.dumps(
+        {
+            "revision": difference.revision,
+            "full": difference.full,
+            "items": items,
+            "deleted": difference.deleted,
+        }
+    ).encode()
+
+
+def decode_difference(body: bytes) -> Difference:
+    """Return what another host sent; raises ValueError when it cannot be read."""
+    try:
+        document = json.loads(body)
+        items = [
+            KeyValue(key, binascii.a2b_base64(value), revision)
+            for key, value, revision in document["items"]
+        ]
+        deleted = [(key, revision) for key, revision in document["deleted"]]
+        return Difference(document["revision"], document["full"], items, deleted)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a list of changes: {error!r}") from error
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -44,11 +44,11 @@
         return KeyValue(f"{HOSTS_PREFIX}{self.zone}/{self.name}", value, 0)
 
 
-def member_of(item: KeyValue) -> Member | None:
+def member_of(key: str, value: bytes) -> Member | None:
     """Return the host that a key registers, or None when it cannot be read."""
     try:
-        zone, name = item.key.removeprefix(HOSTS_PREFIX).split("/", 1)
-        return Member(name, zone, parse_address(json.loads(item.value)["address"]))
+        zone, name = key.removeprefix(HOSTS_PREFIX).split("/", 1)
+        return Member(name, zone, parse_address(json.loads(value)["address"]))
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
@@ -63,16 +63,17 @@
         zone: The code of this host's zone.
         send: Sends a datagram to a peer.
         on_report: Called with a peer that has just reported.
-        revisions: Returns the configuration's version and both revisions of this host.
+        versions: Returns the configuration's version and the newest change that this host knows.
         in_rotation: Whether this host asks for packets.
         cut_off: Whether this host's zone is cut off and short of targets.
+        reaches_store: Whether this host's last call of the store was answered.
     """
 
     def __init__(
         self,
         own: Member,
         steering: Steering,
-        revisions: Callable[[], tuple[int, int, int]],
+        versions: Callable[[], tuple[int, int]],
         rng: random.Random,
         metrics: Metrics,
         journal: Journal,
@@ -81,7 +82,7 @@
         self.boot = rng.getrandbits(32)
         self.steering = steering
         self.send: Callable[[bytes, Address], None] = lambda datagram, address: None
-        self.revisions = revisions
+        self.versions = versions
         self.metrics = metrics
         self.journal = journal
         self.by_address: dict[Address, PeerLoads] = {}
@@ -89,18 +90,21 @@
         self.on_report: Callable[[PeerLoads], None] = lambda peer: None
         self.in_rotation = False
         self.cut_off = False
+        self.reaches_store = True
         self.recent: list[set[str]] = [set()] * REPEAT_TICKS
         self.tick = 0
 
-    def learn_members(self, items: list[KeyValue]) -> None:
-        """Add the hosts that are registered in the store."""
-        for item in items:
-            member = member_of(item)
-            if member is None:
-                self.journal.event("entry_rejected", key=item.key, reason="not a host")
-            elif member.name != self.own.name:
-                peer = self.by_address.setdefault(member.address, PeerLoads(member.address))
-                peer.zone = zone_code(member.zone)
+    def member_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        """Add a host that is registered in the store; one that has gone falls silent by itself."""
+        if value is None:
+            return
+        member = member_of(key, value)
+        if member is None:
+            self.metrics.count("entries_rejected", "host")
+            self.journal.event("entry_rejected", key=key, reason="not a host", revision=revision)
+        elif member.name != self.own.name:
+            peer = self.by_address.setdefault(member.address, PeerLoads(member.address))
+            peer.zone = zone_code(member.zone)
 
     def listeners(self) -> list[Address]:
         """Return the hosts that this one reports to."""
@@ -108,6 +112,15 @@
             return list(self.by_address)
         return [peer.address for peer in self.by_address.values() if self.near(peer)]
 
+    def watchers(self) -> int:
+        """Return how many hosts of a zone watch the store.
+
+        One of them may be cut off from the store without a sign for as long as a bound. Where
+        hosts of several zones report to each other, another zone's watch makes up for it.
+        """
+        several_zones = any(not self.near(peer) for peer in self.by_address.values())
+        return 1 if len(self.by_address) < SMALL_FLEET and several_zones else 2
+
     def near(self, peer: PeerLoads) -> bool:
         """Whether a peer is in this host's zone, or its zone is not known yet."""
         return peer.zone is None or peer.zone == self.zone
@@ -124,16 +137,16 @@
             told |= table.loads.keys() | self.suspected_targets()
         if not told and not refresh:
             return
-        version, config_revision, targets_revision = self.revisions()
+        version, newest = self.versions()
         loads = [entry for target_id in told if (entry := self.entry(target_id)) is not None]
         report = Report(
             self.boot,
             self.zone,
             version,
-            config_revision,
-            targets_revision,
+            newest,
             self.in_rotation,
             self.cut_off,
+            self.reaches_store,
             loads,
         )
         for datagram in encode_report(report):
@@ -178,8 +191,8 @@
             self.journal.event("peer_heard", peer=format_address(source), boot=report.boot)
         peer.heard_at = now
         peer.config_version = report.config_version
-        peer.config_revision = report.config_revision
-        peer.targets_revision = report.targets_revision
+        peer.newest = report.newest
+        peer.reaches_store = report.reaches_store
         peer.zone = report.zone
         peer.in_rotation = report.in_rotation
         peer.cut_off = report.cut_off
--- a/packages/godwitway/src/godwitway/steering/_replica.py
+++ b/packages/godwitway/src/godwitway/steering/_replica.py
@@ -1,46 +1,85 @@
-"""This host's copy of the keys under one prefix of the platform's store."""
+"""This host's copy of the platform's store."""
 
+from collections import deque
 from collections.abc import Callable
 
 from godwitway.store import KeyValue, WatchEvent
 
-__all__ = ["Replica"]
+__all__ = ["Difference", "Replica"]
+
+DELETIONS_KEPT = 1_024
 
 OnChange = Callable[[str, bytes | None, int], None]
 
 
+class Difference:
+    """What a copy has that an older one lacks.
+
+    Attributes:
+        revision: Up to which revision of the store the copy is complete.
+        full: Whether the items are all keys, and not only those that changed.
+        items: The keys.
+        deleted: The keys that are gone, with the revisions at which they went.
+    """
+
+    __slots__ = ("deleted", "full", "items", "revision")
+
+    def __init__(
+        self, revision: int, full: bool, items: list[KeyValue], deleted: list[tuple[str, int]]
+    ) -> None:
+        self.revision = revision
+        self.full = full
+        self.items = items
+        self.deleted = deleted
+
+
 class Replica:
     """Keys with their values, complete up to a revision, which only rises.
 
     Attributes:
-        prefix: What all keys begin with.
+        prefixes: What the keys begin with whose changes other hosts are told of at once.
         items: The present keys.
         listed: Whether the copy has had a complete list.
         revision: Up to which revision of the store the copy is complete.
-        newest: The revision of the newest change in the copy.
+        newest: The revision of the newest change under the prefixes.
         on_change: Called with key, value (None when it is gone) and revision of each change.
+        deletions: The latest deletions.
+        floor: Since which revision the deletions are complete.
     """
 
-    __slots__ = ("items", "listed", "newest", "on_change", "prefix", "revision")
+    __slots__ = (
+        "deletions",
+        "floor",
+        "items",
+        "listed",
+        "newest",
+        "on_change",
+        "prefixes",
+        "revision",
+    )
 
-    def __init__(self, prefix: str, on_change: OnChange) -> None:
-        self.prefix = prefix
+    def __init__(self, prefixes: tuple[str, ...], on_change: OnChange) -> None:
+        self.prefixes = prefixes
         self.on_change = on_change
         self.items: dict[str, KeyValue] = {}
         self.listed = False
         self.revision = 0
         self.newest = 0
+        self.deletions: deque[tuple[str, int]] = deque()
+        self.floor = 0
 
     def apply_listing(self, items: list[KeyValue], revision: int) -> bool:
         """Take over a complete list; returns False for one that is older than the copy."""
         if revision < self.revision:
             return False
-        listed = {item.key: item for item in items if item.key.startswith(self.prefix)}
+        listed = {item.key: item for item in items}
         for key in [key for key in self.items if key not in listed]:
-            del self.items[key]
-            self.on_change(key, None, revision)
+            self.remove(key, revision)
         for item in listed.values():
             self.put(item)
+        # Deletions between the copy and the list are known without their revisions.
+        self.deletions.clear()
+        self.floor = revision
         self.listed = True
         self.revision = revision
         return True
@@ -48,13 +87,12 @@
     def apply_events(self, events: list[WatchEvent], revision: int) -> None:
         """Take over the changes that follow the copy, up to a revision."""
         for event in events:
-            if event.mod_revision <= self.revision or not event.key.startswith(self.prefix):
+            if event.mod_revision <= self.revision:
                 continue
-            self.newest = max(self.newest, event.mod_revision)
             if event.value is not None:
                 self.put(KeyValue(event.key, event.value, event.mod_revision))
-            elif self.items.pop(event.key, None) is not None:
-                self.on_change(event.key, None, event.mod_revision)
+            else:
+                self.remove(event.key, event.mod_revision)
         self.revision = max(self.revision, revision)
 
     def put(self, item: KeyValue) -> None:
@@ -63,5 +101,40 @@
         if known is not None and known.mod_revision >= item.mod_revision:
             return
         self.items[item.key] = item
-        self.newest = max(self.newest, item.mod_revision)
+        self.note(item.key, item.mod_revision)
         self.on_change(item.key, item.value, item.mod_revision)
+
+    def remove(self, key: str, revision: int) -> None:
+        """Take a key out."""
+        if self.items.pop(key, None) is None:
+            return
+        self.deletions.append((key, revision))
+        if len(self.deletions) > DELETIONS_KEPT:
+            self.floor = self.deletions.popleft()[1]
+        self.note(key, revision)
+        self.on_change(key, None, revision)
+
+    def note(self, key: str, revision: int) -> None:
+        """Take note of the newest change that other hosts should know of."""
+        if key.startswith(self.prefixes):
+            self.newest = max(self.newest, revision)
+
+    def since(self, revision: int) -> Difference:
+        """Return what a copy that is complete up to a revision lacks."""
+        if revision < self.floor or not revision:
+            return Difference(self.revision, True, list(self.items.values()), [])
+        items = [item for item in self.items.values() if item.mod_revision > revision]
+        deleted = [(key, at) for key, at in self.deletions if at > revision]
+        return Difference(self.revision, False, items, deleted)
+
+    def apply(self, difference: Difference) -> bool:
+        """Take over what another copy has; returns whether it was of use."""
+        if difference.revision <= self.revision and self.listed:
+            return False
+        if difference.full:
+            return self.apply_listing(difference.items, difference.revision)
+        events = [WatchEvent(item.key, item.value, item.mod_revision) for item in difference.items]
+        events += [WatchEvent(key, None, revision) for key, revision in difference.deleted]
+        events.sort(key=lambda event: event.mod_revision)
+        self.apply_events(events, difference.revision)
+        return True
