Want two witnesses before flows are given up, and push changes to the other hosts

Ruled out: the targets (answered everybody else) and the start of the host (9 s before). A host now suspects a target only while another one answers it, flows are given up on the word of two hosts or of one and an own stalled flow, and a host that hears nothing at all leaves the rotation.

--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -105,6 +105,7 @@
             self.journal,
         )
         self.steering.peer_loads = self.peers.loads_at
+        self.peers.on_push = self.replica.apply
         self.rotation = Rotation(self.steering, self.peers)
 
     def log_start(self) -> None:
--- a/packages/godwitway/src/godwitway/steering/_evidence.py
+++ b/packages/godwitway/src/godwitway/steering/_evidence.py
@@ -5,6 +5,7 @@
 STALLED_FLOWS = 2  # One flow may have lost packets by itself; several at one target have not.
 STALL_VALID_S = 1.5  # The longest pause between two retransmissions of a caller.
 PROBE_VALID_S = 3.0
+AGREEING_HOSTS = 2  # One host alone may have trouble with its own link.
 PEER_VALID_S = 1.0  # Peers repeat a suspicion several times a second while it lasts.
 
 
@@ -15,7 +16,7 @@
         progress_at: When a caller last showed bytes from this target, in seconds.
         stalls: When each flow last repeated a packet without progress since then.
         suspected_since: Since when this host itself suspects the target, or None.
-        peer_suspected_at: When a host of the same zone last said that it suspects the target.
+        suspected_by: When each host of the same zone last said that it suspects the target.
         probe_failed_at: When a health check last got no answer.
         probing: Whether a health check is under way.
         probed_at: When the last health check began.
@@ -23,12 +24,12 @@
     """
 
     __slots__ = (
-        "peer_suspected_at",
         "probe_failed_at",
         "probed_at",
         "probing",
         "progress_at",
         "stalls",
+        "suspected_by",
         "suspected_since",
         "unhealthy",
     )
@@ -37,7 +38,7 @@
         self.progress_at = 0.0
         self.stalls: dict[bytes, float] = {}
         self.suspected_since: float | None = None
-        self.peer_suspected_at = -PEER_VALID_S
+        self.suspected_by: dict[int, float] = {}
         self.probe_failed_at = -PROBE_VALID_S
         self.probing = False
         self.probed_at = -PROBE_VALID_S
@@ -61,8 +62,14 @@
         self.suspected_since = None
         return True
 
-    def stalled(self, flow: bytes, now: float) -> bool:
-        """Take note of a repeated packet; returns whether it begins a suspicion."""
+    def stalled(self, flow: bytes, now: float, link_works: bool) -> bool:
+        """Take note of a repeated packet; returns whether it begins a suspicion.
+
+        Args:
+            flow: The flow.
+            now: The time.
+            link_works: Whether other targets answer, so that it is not this host's own trouble.
+        """
         stalls = self.stalls
         stalls[flow] = now
         if self.suspected_since is not None or len(stalls) < STALLED_FLOWS:
@@ -71,7 +78,7 @@
         if len(valid) < STALLED_FLOWS:
             self.stalls = {key: stalls[key] for key in valid}
             return False
-        return self.suspect(now)
+        return link_works and self.suspect(now)
 
     def suspect(self, now: float) -> bool:
         """Begin a suspicion; returns whether there was none."""
@@ -84,14 +91,24 @@
         """Drop all evidence, as after a pause of this process."""
         self.stalls.clear()
         self.suspected_since = None
-        self.peer_suspected_at = -PEER_VALID_S
+        self.suspected_by.clear()
         self.unhealthy = False
 
+    def hosts_suspecting(self, now: float) -> int:
+        """Return how many other hosts of the zone suspect the target."""
+        if not self.suspected_by:
+            return 0
+        return sum(
+            now - at < PEER_VALID_S and self.progress_at < at for at in self.suspected_by.values()
+        )
+
     def suspected(self, now: float) -> bool:
         """Whether the target takes no new flows while others can."""
+        return self.suspected_since is not None or self.hosts_suspecting(now) > 0
+
+    def unreachable(self, now: float) -> bool:
+        """Whether open flows are better given up: more than one witness is needed."""
         if self.suspected_since is not None:
             return True
-        return (
-            now - self.peer_suspected_at < PEER_VALID_S
-            and self.progress_at < self.peer_suspected_at
-        )
+        hosts = self.hosts_suspecting(now)
+        return hosts >= AGREEING_HOSTS or (hosts > 0 and bool(self.stalls))
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -6,7 +6,7 @@
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
-from godwitway.steering._replica import Replica
+from godwitway.steering._replica import Difference, Replica
 from godwitway.store import CompactedError, FleetStore, StoreError
 
 __all__ = ["Feed"]
@@ -29,6 +29,7 @@
         replica: What is kept complete.
         watches: Whether this host watches for its zone.
         on_reach: Called with whether a call was answered.
+        on_changes: Called with what a call has brought.
         relist: Whether the next call is for all keys.
         woken: Set when the store is to be asked anew.
     """
@@ -39,6 +40,7 @@
         replica: Replica,
         watches: Callable[[], bool],
         on_reach: Callable[[bool], None],
+        on_changes: Callable[[Difference], None],
         rng: random.Random,
         metrics: Metrics,
         journal: Journal,
@@ -47,6 +49,7 @@
         self.replica = replica
         self.watches = watches
         self.on_reach = on_reach
+        self.on_changes = on_changes
         self.rng = rng
         self.metrics = metrics
         self.journal = journal
@@ -111,7 +114,10 @@
         if not call.done():
             return False
         changes = call.result()
+        before = self.replica.revision
         self.replica.apply_events(changes.events, changes.revision)
+        if changes.events:
+            self.on_changes(self.replica.since(before))
         return bool(changes.events)
 
     def lost(self, reason: str) -> None:
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -1,7 +1,6 @@
 """The tasks of one entry host on the platform: start, upkeep and planned stop."""
 
 import asyncio
-import binascii
 import json
 import time
 from collections.abc import Coroutine
@@ -11,14 +10,14 @@
 from godwitway.http import HttpConnection, HttpRequest, serve_http
 from godwitway.http_messages import HttpError
 from godwitway.metrics import Metrics
+from godwitway.steering._changes import decode_difference, encode_difference
 from godwitway.steering._core import SteeringCore
 from godwitway.steering._feed import Feed
 from godwitway.steering._loads import PeerLoads
 from godwitway.steering._membership import keep_registered, keep_reporting
 from godwitway.steering._probes import Probe, Probes
-from godwitway.steering._replica import Difference
 from godwitway.steering._settings import SteeringSettings
-from godwitway.store import FleetStore, KeyValue, StoreError
+from godwitway.store import FleetStore, StoreError
 
 __all__ = ["Links", "SteeringNode"]
 
@@ -87,6 +86,7 @@
             core.replica,
             core.watches,
             self.store_reached,
+            core.peers.push,
             core.rng,
             core.metrics,
             core.journal,
@@ -309,33 +309,3 @@
             if now - left > LEAVE_S and now - core.steering.last_packet_at > QUIET_S:
                 break
         self.stopped.set()
-
-
-def encode_difference(difference: Difference) -> bytes:
-    """Return what another host lacks, as JSON."""
-    items = [
-        (item.key, binascii.b2a_base64(item.value, newline=False).decode(), item.mod_revision)
-        for item in difference.items
-    ]
-    return json.dumps(
-        {
-            "revision": difference.revision,
-            "full": difference.full,
-            "items": items,
-            "deleted": difference.deleted,
-        }
-    ).encode()
-
-
-def decode_difference(body: bytes) -> Difference:
-    """Return what another host sent; raises ValueError when it cannot be read."""
-    try:
-        document = json.loads(body)
-        items = [
-            KeyValue(key, binascii.a2b_base64(value), revision)
-            for key, value, revision in document["items"]
-        ]
-        deleted = [(key, revision) for key, revision in document["deleted"]]
-        return Difference(document["revision"], document["full"], items, deleted)
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a list of changes: {error!r}") from error
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -7,6 +7,7 @@
 from godwitway.addresses import Address, format_address, parse_address
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
+from godwitway.steering._changes import decode_push, encode_push
 from godwitway.steering._loads import (
     PeerLoads,
     Report,
@@ -15,6 +16,7 @@
     zone_code,
 )
 from godwitway.steering._model import Target
+from godwitway.steering._replica import Difference
 from godwitway.steering._steering import Steering
 from godwitway.store import KeyValue
 
@@ -63,6 +65,7 @@
         zone: The code of this host's zone.
         send: Sends a datagram to a peer.
         on_report: Called with a peer that has just reported.
+        on_push: Called with changes of the store that a peer has sent.
         versions: Returns the configuration's version and the newest change that this host knows.
         in_rotation: Whether this host asks for packets.
         cut_off: Whether this host's zone is cut off and short of targets.
@@ -87,6 +90,7 @@
         self.journal = journal
         self.by_address: dict[Address, PeerLoads] = {}
         self.zone = zone_code(own.zone)
+        self.on_push: Callable[[Difference], None] = lambda difference: None
         self.on_report: Callable[[PeerLoads], None] = lambda peer: None
         self.in_rotation = False
         self.cut_off = False
@@ -153,6 +157,26 @@
             for address in self.listeners():
                 self.send(datagram, address)
 
+    def push(self, difference: Difference) -> None:
+        """Send changes of the store to the other hosts; lost ones are asked for."""
+        datagram = encode_push(difference)
+        if datagram is not None:
+            for address in self.listeners():
+                self.send(datagram, address)
+
+    def take_push(self, datagram: bytes) -> bool:
+        """Take over changes that a peer has sent; returns whether the datagram has any."""
+        try:
+            difference = decode_push(datagram)
+        except ValueError as error:
+            self.metrics.count("reports_rejected")
+            self.journal.event("changes_failed", peer=None, reason=str(error))
+            return True
+        if difference is None:
+            return False
+        self.on_push(difference)
+        return True
+
     def suspected_targets(self) -> set[str]:
         """Return the targets that this host itself suspects."""
         return {
@@ -174,7 +198,9 @@
         return target.token, load.busy, load.idle, suspected
 
     def take(self, datagram: bytes, source: Address) -> None:
-        """Take over a peer's report."""
+        """Take over a peer's report, or changes of the store that it sends."""
+        if self.take_push(datagram):
+            return
         report = decode_report(datagram)
         if report is None:
             self.metrics.count("reports_rejected")
@@ -200,14 +226,14 @@
         for token, busy, idle, suspected in report.loads:
             peer.loads[token] = (busy, idle)
             if suspected and in_zone:
-                self.suspected_by_peer(token, now)
+                self.suspected_by_peer(token, peer, now)
         self.on_report(peer)
 
-    def suspected_by_peer(self, token: int, now: float) -> None:
+    def suspected_by_peer(self, token: int, peer: PeerLoads, now: float) -> None:
         """Take note that a host of the same zone suspects a target."""
         target = self.steering.catalog.by_token.get(token)
         if target is not None:
-            self.steering.evidence_of(target).peer_suspected_at = now
+            self.steering.evidence_of(target).suspected_by[peer.boot] = now
 
     def loads_at(self, target: Target) -> tuple[int, int]:
         """Return the requests in progress and idle flows that live peers see at a target."""
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -83,7 +83,8 @@
         )
         if healthy is None:
             evidence.probe_failed_at = now
-            if evidence.progress_at < began and evidence.suspect(now):
+            witnessed = evidence.progress_at < began and steering.link_works(now)
+            if witnessed and evidence.suspect(now):
                 steering.note_suspicion(target, "probe_failed", now)
         else:
             self.answered(target, evidence, healthy)
--- a/packages/godwitway/src/godwitway/steering/_replica.py
+++ b/packages/godwitway/src/godwitway/steering/_replica.py
@@ -16,17 +16,24 @@
     """What a copy has that an older one lacks.
 
     Attributes:
+        base: Up to which revision the older copy must be complete, unless the items are all keys.
         revision: Up to which revision of the store the copy is complete.
         full: Whether the items are all keys, and not only those that changed.
         items: The keys.
         deleted: The keys that are gone, with the revisions at which they went.
     """
 
-    __slots__ = ("deleted", "full", "items", "revision")
+    __slots__ = ("base", "deleted", "full", "items", "revision")
 
     def __init__(
-        self, revision: int, full: bool, items: list[KeyValue], deleted: list[tuple[str, int]]
+        self,
+        base: int,
+        revision: int,
+        full: bool,
+        items: list[KeyValue],
+        deleted: list[tuple[str, int]],
     ) -> None:
+        self.base = base
         self.revision = revision
         self.full = full
         self.items = items
@@ -122,10 +129,10 @@
     def since(self, revision: int) -> Difference:
         """Return what a copy that is complete up to a revision lacks."""
         if revision < self.floor or not revision:
-            return Difference(self.revision, True, list(self.items.values()), [])
+            return Difference(0, self.revision, True, list(self.items.values()), [])
         items = [item for item in self.items.values() if item.mod_revision > revision]
         deleted = [(key, at) for key, at in self.deletions if at > revision]
-        return Difference(self.revision, False, items, deleted)
+        return Difference(revision, self.revision, False, items, deleted)
 
     def apply(self, difference: Difference) -> bool:
         """Take over what another copy has; returns whether it was of use."""
@@ -133,6 +140,8 @@
             return False
         if difference.full:
             return self.apply_listing(difference.items, difference.revision)
+        if not self.listed or difference.base > self.revision:
+            return False
         events = [WatchEvent(item.key, item.value, item.mod_revision) for item in difference.items]
         events += [WatchEvent(key, None, revision) for key, revision in difference.deleted]
         events.sort(key=lambda event: event.mod_revision)
--- a/packages/godwitway/src/godwitway/steering/_rotation.py
+++ b/packages/godwitway/src/godwitway/steering/_rotation.py
@@ -14,7 +14,8 @@
 DEMAND_SMOOTHING = 0.05  # For samples four times a second: about five seconds.
 USABLE_SHARE = 0.85  # Above this use of the slots, requests wait longer than they run.
 PEER_FRESH_S = 0.8  # Hosts are heard at least twice a second.
-ROUTER_NOTICE_S = 1.2  # Routers notice a host's readiness after two probes, half a second apart.
+SILENCE_S = 1.0
+ISOLATED_TARGETS = 2
 
 
 class Rotation:
@@ -57,19 +58,28 @@
     def reason(self, now: float) -> str:
         """Return why others should serve this host's callers, or an empty string."""
         targets = self.open_targets(self.steering.catalog)
-        reachable = [target for target in targets if not self.steering.suspected(target, now)]
-        if not targets:
-            return ""
-        if not reachable:
+        if self.isolated(targets, now):
             return "isolated"
+        reachable = [target for target in targets if not self.steering.suspected(target, now)]
         zone = self.steering.zone
         others = [target for target in targets if target.zone != zone]
-        if not others or any(target.zone != zone for target in reachable):
+        if not reachable or not others or any(target.zone != zone for target in reachable):
             return ""
         if self.short_of_slots(reachable) or self.peers_cut_off(now):
             return "zone_short"
         return ""
 
+    def isolated(self, targets: list[Target], now: float) -> bool:
+        """Whether health checks of several targets failed and none answers in any way."""
+        if now - self.steering.progress_at < SILENCE_S:
+            return False
+        failed = sum(
+            now - evidence.probe_failed_at < SILENCE_S
+            for target in targets
+            if (evidence := self.steering.evidence.get(target.id)) is not None
+        )
+        return failed >= ISOLATED_TARGETS
+
     @staticmethod
     def open_targets(catalog: Catalog) -> list[Target]:
         """Return the targets that take new flows."""
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -17,6 +17,7 @@
 # Less than the 200 ms after which callers repeat a packet, and far more than a packet that was
 # overtaken on its way is late.
 STALL_S = 0.15
+LINK_S = 0.25  # A host with ten requests a second sees several answers in this time.
 
 
 class CallerPort(Protocol):
@@ -49,6 +50,7 @@
         on_stall: Called with a target that a flow makes no progress at.
         on_suspicion: Called with a target that this host begins to suspect.
         last_packet_at: When the last packet of a caller came.
+        progress_at: When any target last answered what this host had sent on.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.on_suspicion: Callable[[Target], None] = lambda target: None
         self.ready = False
         self.last_packet_at = now()
+        self.progress_at = now()
 
     def take(self, packet: FlowPacket) -> None:
         """Decide about one packet."""
@@ -258,7 +261,12 @@
         """Whether a flow's request is better sent to another target by its caller."""
         if flow.route.kind is RequestKind.AT_MOST_ONCE or flow.closed:
             return False
-        return self.suspected(flow.target, now)
+        evidence = self.evidence.get(flow.target.id)
+        return evidence is not None and evidence.unreachable(now)
+
+    def link_works(self, now: float) -> bool:
+        """Whether some target just answered what this host had sent on."""
+        return now - self.progress_at <= LINK_S
 
     def stall(self, flow: SeenFlow, key: bytes, now: float) -> None:
         """Take note that a caller repeated a packet that its target did not acknowledge."""
@@ -274,7 +282,7 @@
             waited_s=round(now - flow.waiting_since, 3) if flow.waiting_since else None,
             progress_age_s=round(now - evidence.progress_at, 3),
         )
-        if evidence.stalled(key, now):
+        if evidence.stalled(key, now, self.link_works(now)):
             self.note_suspicion(flow.target, "stalled_flows", now)
         self.on_stall(flow.target)
 
@@ -294,6 +302,7 @@
 
     def progressed(self, target: Target, now: float, sent_at: float) -> None:
         """Take note that a target answered what was sent to it at a time."""
+        self.progress_at = now
         if self.evidence_of(target).progressed(now, sent_at):
             self.table.changed.add(target.id)
             self.journal.event("target_trusted", target=target.id, reason="progress")
--- a/packages/godwitway/tests/steering/test_probes.py
+++ b/packages/godwitway/tests/steering/test_probes.py
@@ -28,6 +28,7 @@
         target = world.steering.catalog.targets["i-0001"]
         world.open(b"flow-1")
         world.request(b"flow-1", target)
+        world.steering.progress_at = world.clock.now() + 0.4
         world.request(b"flow-1", target, after_s=0.4)
         while self.jobs:
             asyncio.run(self.jobs.pop())
@@ -54,6 +55,17 @@
         world.stall()
         assert world.suspected()
 
+    def test_a_host_that_hears_no_target_suspects_none(self):
+        """Its own link may be too full for health checks."""
+        world = ProbeWorld(None, None)
+        target = world.world.steering.catalog.targets["i-0001"]
+        world.world.open(b"flow-1")
+        world.world.request(b"flow-1", target)
+        world.world.request(b"flow-1", target, after_s=0.4)
+        asyncio.run(world.jobs.pop())
+        assert world.asked
+        assert not world.suspected()
+
     def test_a_target_that_just_answered_is_not_asked(self):
         """Health checks are priced."""
         probed = ProbeWorld()
--- a/packages/godwitway/tests/steering/test_replica.py
+++ b/packages/godwitway/tests/steering/test_replica.py
@@ -2,17 +2,11 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from steering_builders import build_replica
 
-from godwitway.steering._replica import Replica
 from godwitway.store import KeyValue, WatchEvent
 
 
-def build_replica() -> tuple[Replica, list]:
-    """Return a replica and the changes that it passes on."""
-    changes = []
-    return Replica(("k/",), lambda key, value, revision: changes.append((key, value))), changes
-
-
 class TestListing:
     """Complete lists of keys."""
 
--- a/packages/godwitway/tests/steering_builders.py
+++ b/packages/godwitway/tests/steering_builders.py
@@ -16,6 +16,7 @@
 )
 from godwitway.steering._catalog import Catalog
 from godwitway.steering._loads import Report, zone_code
+from godwitway.steering._replica import Replica
 
 BOARD = b"\x01\x00board"
 BID = b"\x02\x00bid"
@@ -102,6 +103,12 @@
     return Report(**(fields | more))
 
 
+def build_replica() -> tuple[Replica, list]:
+    """Return a replica and the changes that it passes on."""
+    changes = []
+    return Replica(("k/",), lambda key, value, revision: changes.append((key, value))), changes
+
+
 class SteeringWorld:
     """A host's steering with targets, a clock and recording ports.
 
