--- a/packages/godwitctl/src/godwitctl/_client.py
+++ b/packages/godwitctl/src/godwitctl/_client.py
@@ -59,6 +59,16 @@
             message = f"{self.base} does not answer: {type(error).__name__} {error}"
             return Err([Problem(ErrorKind.TIMED_OUT, message)])
 
+    async def text(self, path: str) -> Result[str, list[Problem]]:
+        """Return the text at a path."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self.session.get(self.base + path, timeout=timeout) as response:
+                return Ok(await response.text())
+        except (aiohttp.ClientError, TimeoutError) as error:
+            message = f"{self.base} does not answer: {type(error).__name__} {error}"
+            return Err([Problem(ErrorKind.TIMED_OUT, message)])
+
     async def lines(self, path: str, **query: str) -> AsyncIterator[Any]:
         """Yield the JSON lines of a stream."""
         timeout = aiohttp.ClientTimeout(total=None)
--- /dev/null
+++ b/packages/godwitctl/src/godwitctl/_figures.py
@@ -0,0 +1,49 @@
+"""The figures of a journal of scores over time."""
+
+import json
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+__all__ = ["plot_figures", "read_figures"]
+
+WIDTH = 90
+HEIGHT = 18
+
+
+def read_figures(folder: Path) -> list[dict[str, Any]]:
+    """Return one row for each score of a site: when, the mean worth and the broken rules."""
+    rows = []
+    for path in sorted(folder.glob("*.json")):
+        entry = json.loads(path.read_text(encoding="utf-8"))
+        days = [day for day in entry.get("days") or [] if day.get("slot")]
+        if entry.get("cmd") != "score" or not days:
+            continue
+        rows.append(
+            {
+                "at": entry["at"][0],
+                "site": entry["site"],
+                "worth": round(sum(day["G"] for day in days) / len(days), 4),
+                "lowest": round(min(day["G"] for day in days), 4),
+                "broken": sum(bool(day["rules"]) for day in days),
+                "why": entry["why"],
+            }
+        )
+    return rows
+
+
+def plot_figures(rows: list[dict[str, Any]]) -> str:
+    """Return a plot of the mean worth of each site, score after score."""
+    import plotext
+
+    series: dict[str, list[float]] = defaultdict(list)
+    for row in rows:
+        series[row["site"]].append(row["worth"])
+    plotext.clear_figure()
+    plotext.theme("clear")
+    plotext.plotsize(WIDTH, HEIGHT)
+    for site, values in series.items():
+        plotext.plot(list(range(1, len(values) + 1)), values, label=site)
+    plotext.xlabel("scores")
+    plotext.title("mean worth")
+    return plotext.build()
--- a/packages/godwitctl/src/godwitctl/_output.py
+++ b/packages/godwitctl/src/godwitctl/_output.py
@@ -15,7 +15,13 @@
 
 
 def show(value: Any, output: str, columns: list[str] | None = None) -> None:
-    """Print a value as JSON, or its rows as a table."""
+    """Print a value as JSON, as JSON on one line, as text, or its rows as a table."""
+    if output == "text":
+        sys.stdout.write(value.rstrip("\n") + "\n")
+        return
+    if output == "line":
+        sys.stdout.write(msgspec.json.encode(value).decode() + "\n")
+        return
     if output == "json" or columns is None:
         sys.stdout.write(msgspec.json.format(msgspec.json.encode(value)).decode() + "\n")
         return
--- a/packages/godwitctl/src/godwitctl/cli.py
+++ b/packages/godwitctl/src/godwitctl/cli.py
@@ -11,9 +11,13 @@
 from typing import Annotated, Any, Literal
 
 import cappa
+from godwitway.errors import ErrorKind, Problem
+from godwitway.steering import SettingsError, read_steering_settings
 
 from godwitctl._client import Client
 from godwitctl._commands import Outcome, apply_file, drain_target, wait_in_force
+from godwitctl._explain import explain, read_lines
+from godwitctl._figures import plot_figures, read_figures
 from godwitctl._output import fail, show
 
 __all__ = ["Godwitctl", "main"]
@@ -211,12 +215,87 @@
         show([done], self.common.output, ["revision", "write_id"])
 
 
+@dataclass
+class Explain:
+    """Show what happened to a request, from the logs of the hosts."""
+
+    wanted: Annotated[str, cappa.Arg(help="A request's id, or a flow.")]
+    logs: Annotated[list[Path], cappa.Arg(help="The hosts' logs: JSON lines.")]
+
+    def __call__(self) -> None:
+        """Find the request."""
+        lines = explain(read_lines(self.logs), self.wanted)
+        if not lines:
+            fail([Problem(ErrorKind.NOT_FOUND, f"no line names {self.wanted!r}", "wanted")])
+        for line in lines:
+            show(line, "line")
+
+
+@dataclass
+class Check:
+    """Check the settings file of a host on the users' platform."""
+
+    file: Path
+
+    def __call__(self) -> None:
+        """Check the file and report every error."""
+        try:
+            settings = read_steering_settings(str(self.file))
+        except SettingsError as error:
+            fail(error.problems)
+        show({"name": settings.name, "zone": settings.zone, "result": "valid"}, "json")
+
+
+@dataclass
+class State:
+    """Show what a host on the users' platform believes, or its metrics."""
+
+    common: cappa.Destructured[Common]
+    metrics: Annotated[bool, cappa.Arg(long=True, help="The metrics as text.")] = False
+
+    def __call__(self) -> None:
+        """Ask the host's control address, given by --api."""
+        if self.metrics:
+            show(run(self.common, lambda client: client.text("/metrics")), "text")
+        else:
+            show(run(self.common, lambda client: client.call("GET", "/state")), "json")
+
+
+@dataclass
+class Figures:
+    """Show the scores of a journal over time."""
+
+    folder: Annotated[Path, cappa.Arg(help="The folder of the journal.")] = Path("journal")
+    plot: Annotated[bool, cappa.Arg(long=True)] = False
+    output: Annotated[Literal["table", "json"], cappa.Arg(long=True)] = "table"
+
+    def __call__(self) -> None:
+        """Read the journal."""
+        rows = read_figures(self.folder)
+        if self.plot:
+            show(plot_figures(rows), "text")
+        else:
+            show(rows, self.output, ["at", "site", "worth", "lowest", "broken", "why"])
+
+
 @dataclass
 class Godwitctl:
     """Changes and shows the services of godwitway."""
 
     command: cappa.Subcommands[
-        Apply | Get | Delete | Watch | Status | Dump | Drain | WaitInForce | Write
+        Apply
+        | Get
+        | Delete
+        | Watch
+        | Status
+        | Dump
+        | Drain
+        | WaitInForce
+        | Write
+        | Explain
+        | Check
+        | State
+        | Figures
     ] = field()
 
 
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -105,6 +105,8 @@
             await serve_http(settings.ready, self.handle_ready),
             await serve_http(settings.control, self.handle_control),
         ]
+        if settings.metrics is not None:
+            servers.append(await serve_http(settings.metrics, self.handle_metrics))
         await self.synchronize()
         for job in (
             self.feed.run(),
@@ -260,6 +262,10 @@
         """Answer the platform's question whether packets should come here."""
         return (200 if self.core.peers.in_rotation else 503), b"{}", "application/json"
 
+    async def handle_metrics(self, request: HttpRequest) -> tuple[int, bytes, str]:
+        """Serve the metrics as text."""
+        return 200, self.metrics.exposition(), "text/plain; version=0.0.4"
+
     async def handle_control(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Serve changes to other hosts, metrics and the state dump."""
         if request.path.startswith(CHANGES_PATH) and self.core.catalog.config is not None:
@@ -268,7 +274,7 @@
                 difference = self.replica.since(int(revision))
                 return 200, encode_difference(difference), "application/json"
         if request.path == "/metrics":
-            return 200, self.metrics.exposition(), "text/plain; version=0.0.4"
+            return await self.handle_metrics(request)
         if request.path == "/state":
             return 200, json.dumps(self.core.state()).encode(), "application/json"
         return 404, b"{}", "application/json"
@@ -281,7 +287,7 @@
         present = self.core.settings
         needs_restart = [
             name
-            for name in ("name", "zone", "packets", "ready", "control", "peer", "store")
+            for name in ("name", "zone", "packets", "ready", "control", "metrics", "peer", "store")
             if getattr(settings, name) != getattr(present, name)
         ]
         present.seeds = settings.seeds
--- a/packages/godwitway/src/godwitway/steering/_settings.py
+++ b/packages/godwitway/src/godwitway/steering/_settings.py
@@ -34,7 +34,8 @@
         zone: Its availability zone.
         packets: Where callers' packets arrive.
         ready: Where the platform asks whether the host is ready.
-        control: Where state, metrics and snapshots are served.
+        control: Where state, metrics and changes are served.
+        metrics: Where metrics are served besides, or None.
         peer: Where reports of other hosts arrive.
         store: The platform's store.
         seeds: Control addresses of some other hosts.
@@ -43,6 +44,7 @@
 
     __slots__ = (
         "control",
+        "metrics",
         "name",
         "packets",
         "peer",
@@ -64,6 +66,7 @@
         store: Address,
         seeds: list[Address],
         stop_bound_s: float,
+        metrics: Address | None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -74,6 +77,7 @@
         self.store = store
         self.seeds = seeds
         self.stop_bound_s = stop_bound_s
+        self.metrics = metrics
 
 
 CHECK_SETTINGS = object_of(
@@ -88,6 +92,7 @@
         Field("store", address),
         Field("seeds", list_of(address), list),
         Field("stop_bound_s", number(0, 3600), DEFAULT_STOP_BOUND_S),
+        Field("metrics", address, None),
     ],
 )
 
