Suspect a target only when a health check fails and a control one succeeds

Stalled flows now make a target the last choice for new flows; open ones are given up only when a health check gets no answer and, at the same moment, a target that answered callers lately takes a connection.

--- a/packages/godwitway/src/godwitway/steering/_evidence.py
+++ b/packages/godwitway/src/godwitway/steering/_evidence.py
@@ -62,23 +62,17 @@
         self.suspected_since = None
         return True
 
-    def stalled(self, flow: bytes, now: float, link_works: bool) -> bool:
-        """Take note of a repeated packet; returns whether it begins a suspicion.
-
-        Args:
-            flow: The flow.
-            now: The time.
-            link_works: Whether other targets answer, so that it is not this host's own trouble.
-        """
-        stalls = self.stalls
-        stalls[flow] = now
-        if self.suspected_since is not None or len(stalls) < STALLED_FLOWS:
-            return False
-        valid = [key for key, at in stalls.items() if now - at <= STALL_VALID_S]
-        if len(valid) < STALLED_FLOWS:
-            self.stalls = {key: stalls[key] for key in valid}
+    def stalled(self, flow: bytes, now: float) -> None:
+        """Take note of a repeated packet."""
+        self.stalls[flow] = now
+        if len(self.stalls) > STALLED_FLOWS:
+            self.stalls = {key: at for key, at in self.stalls.items() if now - at <= STALL_VALID_S}
+
+    def doubtful(self, now: float) -> bool:
+        """Whether several flows make no progress; enough to prefer others, not to give flows up."""
+        if len(self.stalls) < STALLED_FLOWS:
             return False
-        return link_works and self.suspect(now)
+        return sum(now - at <= STALL_VALID_S for at in self.stalls.values()) >= STALLED_FLOWS
 
     def suspect(self, now: float) -> bool:
         """Begin a suspicion; returns whether there was none."""
@@ -104,7 +98,9 @@
 
     def suspected(self, now: float) -> bool:
         """Whether the target takes no new flows while others can."""
-        return self.suspected_since is not None or self.hosts_suspecting(now) > 0
+        if self.suspected_since is not None or self.hosts_suspecting(now) > 0:
+            return True
+        return self.doubtful(now)
 
     def unreachable(self, now: float) -> bool:
         """Whether open flows are better given up: more than one witness is needed."""
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -42,7 +42,7 @@
         evidence = self.steering.evidence_of(target)
         if evidence.probing or now - evidence.probed_at < PROBE_PAUSE_S:
             return
-        if now - evidence.progress_at < DOUBT_S:
+        if now - evidence.progress_at < DOUBT_S and not evidence.doubtful(now):
             return
         self.begin(target, evidence, now)
 
@@ -71,34 +71,61 @@
         config = steering.catalog.config
         terms = config.services.get(target.service) if config else None
         try:
-            healthy = None
+            healthy, conclusive = None, False
             if terms is not None:
-                healthy = await self.ask(target, terms.health_path)
+                healthy, conclusive = await self.ask(target, terms.health_path)
         finally:
             evidence.probing = False
         now = steering.now()
         steering.metrics.count("probes", str(healthy))
         steering.journal.event(
-            "probe", target=target.id, healthy=healthy, took_s=round(now - began, 4)
+            "probe",
+            target=target.id,
+            healthy=healthy,
+            conclusive=conclusive,
+            took_s=round(now - began, 4),
         )
-        if healthy is None:
-            evidence.probe_failed_at = now
-            witnessed = evidence.progress_at < began and steering.link_works(now)
-            if witnessed and evidence.suspect(now):
-                steering.note_suspicion(target, "probe_failed", now)
-        else:
+        if healthy is not None:
             self.answered(target, evidence, healthy)
+            return
+        evidence.probe_failed_at = now
+        if conclusive and evidence.progress_at < began and evidence.suspect(now):
+            steering.note_suspicion(target, now)
 
-    async def ask(self, target: Target, path: str) -> bool | None:
-        """Ask an endpoint over several connections at once, and return what it answers.
+    async def ask(self, target: Target, path: str) -> tuple[bool | None, bool]:
+        """Ask an endpoint; returns what it answers, and whether no answer means anything.
 
-        A lost packet of a connection's handshake comes again after a second only, so a single
-        connection says little about the target.
+        A lost packet of a connection's handshake comes again after a second only, so several
+        connections are opened at once. Silence means something only while a target that answered
+        callers lately still takes a connection: else this host's own link may be full.
         """
+        control = self.control(target)
         answers = await asyncio.gather(
-            *(self.probe(target, path, PROBE_TIMEOUT_S) for _ in range(PROBE_CONNECTIONS))
+            *(self.probe(target, path, PROBE_TIMEOUT_S) for _ in range(PROBE_CONNECTIONS)),
+            self.ask_control(control),
         )
-        return next((answer for answer in answers if answer is not None), None)
+        healthy = next((answer for answer in answers[:-1] if answer is not None), None)
+        return healthy, answers[-1] is not None
+
+    async def ask_control(self, control: Target | None) -> bool | None:
+        """Ask a target that should answer."""
+        if control is None:
+            return None
+        terms = self.steering.catalog.config.services.get(control.service)
+        return await self.probe(control, terms.health_path, PROBE_TIMEOUT_S) if terms else None
+
+    def control(self, doubted: Target) -> Target | None:
+        """Return the target of this zone, or else of any, that answered last."""
+        steering = self.steering
+        now = steering.now()
+        others = [
+            (target.zone == steering.zone, evidence.progress_at, target)
+            for target_id, evidence in steering.evidence.items()
+            if (target := steering.catalog.targets.get(target_id)) is not None
+            and target is not doubted
+            and not evidence.suspected(now)
+        ]
+        return max(others, key=lambda entry: entry[:2])[2] if others else None
 
     def answered(self, target: Target, evidence: TargetEvidence, healthy: bool) -> None:
         """Trust a target again whose endpoint answered."""
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -17,7 +17,6 @@
 # Less than the 200 ms after which callers repeat a packet, and far more than a packet that was
 # overtaken on its way is late.
 STALL_S = 0.15
-LINK_S = 0.25  # A host with ten requests a second sees several answers in this time.
 
 
 class CallerPort(Protocol):
@@ -111,7 +110,7 @@
                 self.port.forward(packet, flow.target)  # A copy that the network made.
                 return
             self.stall(flow, packet.flow, now)
-            tried = flow.tried
+            tried = list(flow.tried)
         target = self.place(route, tried, now)
         if target is None:
             self.refuse(packet, "no_target", now)
@@ -264,10 +263,6 @@
         evidence = self.evidence.get(flow.target.id)
         return evidence is not None and evidence.unreachable(now)
 
-    def link_works(self, now: float) -> bool:
-        """Whether some target just answered what this host had sent on."""
-        return now - self.progress_at <= LINK_S
-
     def stall(self, flow: SeenFlow, key: bytes, now: float) -> None:
         """Take note that a caller repeated a packet that its target did not acknowledge."""
         flow.stalled += 1
@@ -282,19 +277,17 @@
             waited_s=round(now - flow.waiting_since, 3) if flow.waiting_since else None,
             progress_age_s=round(now - evidence.progress_at, 3),
         )
-        if evidence.stalled(key, now, self.link_works(now)):
-            self.note_suspicion(flow.target, "stalled_flows", now)
+        evidence.stalled(key, now)
         self.on_stall(flow.target)
 
-    def note_suspicion(self, target: Target, reason: str, now: float) -> None:
+    def note_suspicion(self, target: Target, now: float) -> None:
         """Log that this host begins to suspect a target."""
         evidence = self.evidence_of(target)
         self.table.changed.add(target.id)
-        self.metrics.count("targets_suspected", reason)
+        self.metrics.count("targets_suspected")
         self.journal.event(
             "target_suspected",
             target=target.id,
-            reason=reason,
             flows=len(evidence.stalls),
             progress_age_s=round(now - evidence.progress_at, 3),
         )
--- a/packages/godwitway/tests/steering/test_steering.py
+++ b/packages/godwitway/tests/steering/test_steering.py
@@ -25,6 +25,7 @@
         world.take(0.2, flow=b"flow-1", opening=True)
         first, second = (target.id for _, target in world.port.forwarded)
         assert first != second
+        assert [line["tried"] for line in world.events("place")] == [0, 1]
 
     def test_a_copy_made_by_the_network_goes_to_the_same_target(self):
         """Callers wait 200 ms before they repeat an opening packet."""
