--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 
 bench: .venv/installed
 	PYTHONPATH=packages/godwitway/tests $(BIN)/python benchmarks/bench.py
+	PYTHONPATH=packages/godwitway/tests $(BIN)/python benchmarks/steering.py
 
 # Measures control with 7, 50 and 120 host processes; takes about three minutes.
 bench-scale: .venv/installed
--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -24,7 +24,7 @@
 from godwitway.process._directory import Directory
 from godwitway.process._door import Door
 from godwitway.process._flows import Flows
-from godwitway.process._journal import Journal
+from godwitway.journal import Journal
 from godwitway.process._loads import LoadReport
 from godwitway.process._member import Member, MemberState
 from godwitway.process._messages import (
@@ -38,7 +38,7 @@
 from godwitway.process._node import Node
 from godwitway.process._ownership import Ownership
 from godwitway.process._router import Router
-from godwitway.request import ACK, Keyring, Redirect, encode, flow_key
+from godwitway.request import ACK, Keyring, Redirect, encode, flow_key, format_key
 from godwitway.version import EMPTY, Snapshot, build_snapshot, check_service
 
 UDP_HEADER_BYTES = 28
@@ -112,7 +112,7 @@
             SilentCourier(),
             Keyring(settings.keys),
             Metrics(),
-            Journal("bench", clock.now, lambda line: None),
+            Journal("bench", clock.now, lambda line: None, format_key),
         )
         self.flows = Flows(self.node)
         self.router = Router(self.node, self.flows)
--- /dev/null
+++ b/benchmarks/steering.py
@@ -0,0 +1,148 @@
+"""Measures the packet path of a steering host, and the processor time of its start.
+
+Times of packets are ratios to a bare loop of receiving, looking up and sending; each line is
+``name: value unit``.
+"""
+
+import random
+import resource
+import socket
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+
+from godwitway.journal import Journal
+from godwitway.metrics import Metrics
+from godwitway.steering import Steering
+from godwitway.steering._catalog import Catalog
+from godwitway_platform._packets import decode_packet, encode_forward, format_flow
+from steering_builders import build_config, build_target
+
+PACKETS = 2_000
+ROUNDS = 15
+STARTS = 11
+FLAG = 8
+PORT_FIELD = slice(19, 21)
+BARE = "pass"
+FIRST_PACKET = "import godwitway_platform._run"
+WHOLE = "import godwitway_platform._run, godwitway_platform._serve"
+
+
+class SendingPort:
+    """Sends packets to a socket that nobody reads."""
+
+    def __init__(self) -> None:
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sink.bind(("127.0.0.1", 0))
+        self.address = self.sink.getsockname()
+
+    def forward(self, packet, target) -> None:
+        """Send a packet on."""
+        data = encode_forward(packet.raw, target.envelope, target.token)
+        self.socket.sendto(data, self.address)
+
+    def refuse(self, packet) -> None:
+        """Send nothing; no packet of this measurement is refused."""
+        raise AssertionError("a packet was refused")
+
+    def request_id(self, packet) -> str:
+        """Return no id."""
+        return ""
+
+
+def measure(take: Callable[[bytes], None], packets: list[bytes]) -> float:
+    """Return the median time of a packet in microseconds, with a receive for each."""
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    receiver.bind(("127.0.0.1", 0))
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.connect(receiver.getsockname())
+    times = []
+    for _ in range(ROUNDS):
+        spent = 0.0
+        for start in range(0, len(packets), 100):
+            for raw in packets[start : start + 100]:
+                sender.send(raw)
+            began = time.perf_counter()
+            for _ in packets[start : start + 100]:
+                take(receiver.recv(2_048))
+            spent += time.perf_counter() - began
+        times.append(spent / len(packets) * 1e6)
+    return statistics.median(times)
+
+
+def packet(flags: int, port: int, length: int, token: int, sequence: int) -> bytes:
+    """Return a packet of one flow to the board's address."""
+    head = bytearray(31)
+    head[0:4] = token.to_bytes(4, "little")
+    head[FLAG] = flags
+    head[9:15] = b"\x01\x00board"[:6]
+    head[PORT_FIELD] = port.to_bytes(2, "little")
+    head[21:23] = length.to_bytes(2, "little")
+    head[23:27] = sequence.to_bytes(4, "little")
+    return bytes(head) + b"x" * length
+
+
+def build_steering() -> Steering:
+    """Return a host's steering with sixty targets."""
+    config = build_config()
+    for route in config.routes:
+        route.service_address = route.service_address[:6]
+    catalog = Catalog()
+    catalog.apply_config(config)
+    for number in range(1, 61):
+        catalog.put_target(build_target(number % 250, zone="abc"[number % 3]))
+    steering = Steering(
+        SendingPort(),
+        catalog,
+        "a",
+        time.monotonic,
+        random.Random(1),
+        Metrics(),
+        Journal("bench", time.monotonic, lambda line: None, format_flow, 50),
+    )
+    steering.ready = True
+    return steering
+
+
+def start_ms(statement: str) -> float:
+    """Return the least processor time of a program in milliseconds."""
+    times = []
+    for _ in range(STARTS):
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        code = f"import gc, sys; gc.disable(); sys.modules['ssl'] = None; {statement}"
+        subprocess.run([sys.executable, "-c", code], check=True)
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        spent = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+        times.append(spent * 1_000)
+    return min(times)
+
+
+def main() -> None:
+    """Measure and print."""
+    steering = build_steering()
+    token = steering.catalog.targets["i-0001"].token
+    port = steering.port
+    table = {bytes([1]): port.address}
+
+    def bare(raw: bytes) -> None:
+        port.socket.sendto(raw, table[b"\x01"])
+
+    def steer(raw: bytes) -> None:
+        steering.take(decode_packet(raw))
+
+    established = [packet(1, 1_000 + n % 50, 100, token, n * 100) for n in range(PACKETS)]
+    opening = [packet(16, n % 60_000, 0, 0, n) for n in range(PACKETS)]
+    base = measure(bare, established)
+    for name, packets in (("established", established), ("opening", opening)):
+        sys.stdout.write(f"steering.{name}: {measure(steer, packets) / base:.2f} x bare loop\n")
+    interpreter = start_ms(BARE)
+    for name, statement in (("first_packet", FIRST_PACKET), ("whole", WHOLE)):
+        spent = start_ms(statement)
+        sys.stdout.write(f"start.{name}: {spent:.1f} ms, {spent / interpreter:.2f} x interpreter\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -68,4 +68,6 @@
 sleep 2
 echo "draining target 127.0.1.2:9000"
 "$bin/godwitctl" drain live-auction 127.0.1.2:9000 || exit 1
-wait "$player"
+wait "$player" || exit 1
+echo "the users' platform: six hosts, no faults"
+"$bin/godwitway-standin" soak --seed 1 --seconds 4 --calm --folder "$work/platform"
