--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -23,8 +23,8 @@
     Attributes:
         catalog: What is kept up to date.
         held: Until when each vanished target that was not draining is kept, by id.
+        ids: The ids of the targets that keys of the store name.
         on_restart: Called with the id of a target that started anew.
-        on_config: Called when a configuration was put in force.
     """
 
     def __init__(
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -181,6 +181,9 @@
         self.announcements.expire_held()
         self.catalog.forget_departed(now)
         self.peers.forget_silent(now)
+        port = self.steering.port
+        self.metrics.gauges["datagrams_unreadable"] = port.unreadable
+        self.metrics.gauges["datagrams_unsent"] = port.unsent
 
     def forget_evidence(self) -> None:
         """Drop the evidence about targets, as after a pause of this process."""
--- a/packages/godwitway/src/godwitway/steering/_evidence.py
+++ b/packages/godwitway/src/godwitway/steering/_evidence.py
@@ -20,7 +20,6 @@
         probe_failed_at: When a health check last got no answer.
         probing: Whether a health check is under way.
         probed_at: When the last health check began.
-        unhealthy: Whether the last health check was answered with a failure.
     """
 
     __slots__ = (
@@ -31,7 +30,6 @@
         "stalls",
         "suspected_by",
         "suspected_since",
-        "unhealthy",
     )
 
     def __init__(self) -> None:
@@ -42,7 +40,6 @@
         self.probe_failed_at = -PROBE_VALID_S
         self.probing = False
         self.probed_at = -PROBE_VALID_S
-        self.unhealthy = False
 
     def progressed(self, now: float, sent_at: float) -> bool:
         """Take note of progress; returns whether it ended a suspicion.
@@ -86,7 +83,6 @@
         self.stalls.clear()
         self.suspected_since = None
         self.suspected_by.clear()
-        self.unhealthy = False
 
     def hosts_suspecting(self, now: float) -> int:
         """Return how many other hosts of the zone suspect the target."""
--- a/packages/godwitway/src/godwitway/steering/_model.py
+++ b/packages/godwitway/src/godwitway/steering/_model.py
@@ -4,7 +4,16 @@
 
 from godwitway.addresses import Address
 
-__all__ = ["FleetConfig", "FlowPacket", "RequestKind", "Route", "ServiceTerms", "Target"]
+__all__ = [
+    "DropReason",
+    "FleetConfig",
+    "FlowPacket",
+    "RequestKind",
+    "ResetReason",
+    "Route",
+    "ServiceTerms",
+    "Target",
+]
 
 
 class RequestKind(Enum):
@@ -15,6 +24,24 @@
     AT_MOST_ONCE = "at_most_once"
 
 
+class ResetReason(Enum):
+    """Why a caller's flow is reset."""
+
+    NO_ROUTE = "no_route"
+    NO_TARGET = "no_target"
+    TARGET_LEFT = "target_left"
+    TARGET_UNREACHABLE = "target_unreachable"
+
+
+class DropReason(Enum):
+    """Why a packet gets no answer."""
+
+    FORGED = "forged"
+    NO_CONFIGURATION = "no_configuration"
+    NOT_READY = "not_ready"
+    NO_TOKEN = "no_token"
+
+
 class FlowPacket:
     """The fields of one packet of a caller that steering decides by.
 
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -86,7 +86,7 @@
             took_s=round(now - began, 4),
         )
         if healthy is not None:
-            self.answered(target, evidence, healthy)
+            self.answered(target, evidence)
             return
         evidence.probe_failed_at = now
         if conclusive and evidence.progress_at < began and evidence.suspect(now):
@@ -127,11 +127,10 @@
         ]
         return max(others, key=lambda entry: entry[:2])[2] if others else None
 
-    def answered(self, target: Target, evidence: TargetEvidence, healthy: bool) -> None:
+    def answered(self, target: Target, evidence: TargetEvidence) -> None:
         """Trust a target again whose endpoint answered."""
         evidence.progress_at = self.steering.now()
         evidence.stalls.clear()
-        evidence.unhealthy = not healthy
         if evidence.suspected_since is not None:
             evidence.suspected_since = None
             self.steering.table.changed.add(target.id)
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -9,7 +9,14 @@
 from godwitway.steering._catalog import Catalog
 from godwitway.steering._evidence import TargetEvidence
 from godwitway.steering._flows import FlowTable, SeenFlow, advances, is_after
-from godwitway.steering._model import FlowPacket, RequestKind, Route, Target
+from godwitway.steering._model import (
+    DropReason,
+    FlowPacket,
+    RequestKind,
+    ResetReason,
+    Route,
+    Target,
+)
 from godwitway.steering._placement import LoadView, choose_service, choose_target
 
 __all__ = ["CallerPort", "Steering"]
@@ -20,7 +27,15 @@
 
 
 class CallerPort(Protocol):
-    """Sends packets on and answers callers."""
+    """Sends packets on and answers callers.
+
+    Attributes:
+        unreadable: How many datagrams were no packets.
+        unsent: How many datagrams the socket did not take.
+    """
+
+    unreadable: int
+    unsent: int
 
     def forward(self, packet: FlowPacket, target: Target) -> None:
         """Send a packet to a target, with the target's route token."""
@@ -82,19 +97,23 @@
         """Decide about one packet."""
         now = self.last_packet_at = self.now()
         if packet.forged:
-            self.metrics.count("packets_dropped", "forged")
+            self.drop(DropReason.FORGED)
             return
         if self.catalog.config is None:
-            self.metrics.count("packets_dropped", "no_configuration")
+            self.drop(DropReason.NO_CONFIGURATION)
             return
         route = self.catalog.routes.get(packet.service_address)
         if route is None:
-            self.refuse(packet, "no_route", now)
+            self.refuse(packet, ResetReason.NO_ROUTE, now)
         elif packet.opening:
             self.open(packet, route, now)
         else:
             self.go_on(packet, route, now)
 
+    def drop(self, reason: DropReason) -> None:
+        """Give a packet no answer."""
+        self.metrics.count("packets_dropped", reason.value)
+
     def open(self, packet: FlowPacket, route: Route, now: float) -> None:
         """Place a new flow, or place it elsewhere when its first packet comes again."""
         flow = self.table.flows.get(packet.flow)
@@ -102,7 +121,7 @@
             self.port.forward(packet, flow.target)
             return
         if not self.ready:
-            self.metrics.count("packets_dropped", "not_ready")
+            self.drop(DropReason.NOT_READY)
             return
         tried: list[str] = []
         if flow is not None and not flow.opened and not flow.closed:
@@ -113,7 +132,7 @@
             tried = list(flow.tried)
         target = self.place(route, tried, now)
         if target is None:
-            self.refuse(packet, "no_target", now)
+            self.refuse(packet, ResetReason.NO_TARGET, now)
             return
         if tried:
             self.table.move(flow, target)
@@ -176,18 +195,18 @@
         else:
             target = self.catalog.by_token.get(packet.token)
             if target is None or not self.catalog.allowed(route, target):
-                self.metrics.count("packets_dropped", "no_token")
+                self.drop(DropReason.NO_TOKEN)
                 return
             flow = self.opened(packet, flow, route, target, now)
         flow.touched = now
         if target.id in self.catalog.departed:
-            self.refuse(packet, "target_left", now, target)
+            self.refuse(packet, ResetReason.TARGET_LEFT, now, target)
             self.table.remove(packet.flow)
             return
         if packet.reset:
             self.table.remove(packet.flow)
         elif not self.measure(packet, flow, now):
-            self.refuse(packet, "target_unreachable", now, target)
+            self.refuse(packet, ResetReason.TARGET_UNREACHABLE, now, target)
             self.table.remove(packet.flow)
             return
         self.port.forward(packet, target)
@@ -301,16 +320,20 @@
             self.journal.event("target_trusted", target=target.id, reason="progress")
 
     def refuse(
-        self, packet: FlowPacket, reason: str, now: float, target: Target | None = None
+        self,
+        packet: FlowPacket,
+        reason: ResetReason,
+        now: float,
+        target: Target | None = None,
     ) -> None:
         """Reset a caller's flow."""
-        self.metrics.count("flows_reset", reason)
+        self.metrics.count("flows_reset", reason.value)
         if packet.reset:
             return
         self.journal.event(
             "reset",
             packet.flow,
-            reason=reason,
+            reason=reason.value,
             target=target.id if target else None,
             version=self.catalog.config.version,
             opening=packet.opening,
--- a/packages/godwitway/tests/steering_builders.py
+++ b/packages/godwitway/tests/steering_builders.py
@@ -40,6 +40,8 @@
     def __init__(self) -> None:
         self.forwarded: list[tuple[FlowPacket, Target]] = []
         self.refused: list[FlowPacket] = []
+        self.unreadable = 0
+        self.unsent = 0
 
     def forward(self, packet: FlowPacket, target: Target) -> None:
         """Record a forwarded packet."""
