--- a/packages/godwitway-standins/src/godwitway_standins/_replay.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_replay.py
@@ -134,6 +134,7 @@
     totals: defaultdict[str, float] = defaultdict(float)
     counts: Counter[str] = Counter()
     for metrics in world.metrics:
+        metrics.settle()
         for name, histogram in metrics.histograms.items():
             if not name.startswith(SLOT_HELD):
                 continue
