--- a/packages/godwitway-standins/tests/test_recovery.py
+++ b/packages/godwitway-standins/tests/test_recovery.py
@@ -86,6 +86,21 @@
 
         play(tmp_path, 61, scenario)
 
+    def test_a_hangup_during_the_start_does_not_end_a_host(self, tmp_path):
+        """Settings may change at any moment; found by the soak, seed 207."""
+
+        async def scenario(world):
+            host = world.hosts[0]
+            host.kill()
+            host.start()
+            assert await wait_until(lambda: len(events_of(host, "start")) == 2, READY_S)
+            while len(events_of(host, "registered")) < 2:
+                host.signal(signal.SIGHUP)
+                await asyncio.sleep(0.01)
+                assert not host.ended()
+
+        play(tmp_path, 65, scenario)
+
 
 class TestChanges:
     """Changes of the store that reach all hosts through a few."""
