--- a/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
@@ -57,6 +57,15 @@
         limit = self.now() - Bounds.stable_s
         return all(self.disturbed.get(name, 0.0) < limit for name in names)
 
+    def lateness(self, accepted_at: float) -> float:
+        """Return how long ago the bound of a change began, in seconds.
+
+        Bounds run from an acknowledgement that the store gave while it was stable; a change that it
+        took before counts from the moment when it was stable again.
+        """
+        stable_at = self.disturbed.get("store", -Bounds.stable_s) + Bounds.stable_s
+        return self.now() - max(accepted_at, stable_at)
+
     def configured(self, routes: dict[tuple[str, int], str]) -> None:
         """Take note of a configuration that the store accepted."""
         for address, service in routes.items():
@@ -71,10 +80,10 @@
         address = key[2:]
         if target.service not in self.allowed[address]:
             self.breach("ROUTE", f"{target.name} of {target.service} took a flow to {address}")
-        late = self.now() - self.draining.get(target.name, self.now())
+        late = self.lateness(self.draining.get(target.name, self.now()))
         if late > Bounds.drain_s and self.calm(host, "store", target.name):
             self.breach("DRAIN", f"{target.name} took a flow {late:.2f} s after it began to drain")
-        late = self.now() - self.dropped.get(address, self.now())
+        late = self.lateness(self.dropped.get(address, self.now()))
         if late > Bounds.config_s and self.calm(host, "store"):
             self.breach("CONFIG", f"{host} used route {address} {late:.2f} s after it was dropped")
 
--- a/packages/godwitway-standins/tests/test_soak.py
+++ b/packages/godwitway-standins/tests/test_soak.py
@@ -84,6 +84,17 @@
         world.judge.took(world.target, KEY, HOST)
         assert world.promises() == ["CONFIG"]
 
+    @pytest.mark.parametrize(("after_s", "broken"), [(4.9, []), (5.1, ["DRAIN"])])
+    def test_a_change_that_an_unstable_store_took(self, after_s, broken):
+        """Its bound begins once the store is stable; found by seed 243."""
+        world = JudgeWorld()
+        world.judge.disturb("store")
+        world.time += 2.0
+        world.judge.draining[world.target.name] = world.time
+        world.time += after_s
+        world.judge.took(world.target, KEY, HOST)
+        assert world.promises() == broken
+
     def test_a_reset_of_a_flow_that_its_target_serves(self):
         """An established flow survives."""
         world = JudgeWorld()
