--- a/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-from godwitway_standins.flows._caller import Caller, Outcome, RequestType
+from godwitway_standins.flows._caller import Caller, RequestType
 from godwitway_standins.flows._judge import Judge
 from godwitway_standins.flows._metadata import MetadataServer
 from godwitway_standins.flows._proxy import TcpProxy
@@ -78,7 +78,6 @@
         proxy: The proxy between it and the store.
         process: The process, None while the host is down.
         paused: Whether the process is stopped by a signal.
-        unplanned: How often the process ended by itself.
     """
 
     def __init__(
@@ -92,7 +91,6 @@
         self.settings = folder / f"{name}.json"
         self.process: subprocess.Popen[bytes] | None = None
         self.paused = False
-        self.unplanned = 0
         self.cuts: set[str] = set()
         self.settings.write_text(
             json.dumps(
@@ -323,10 +321,6 @@
             for caller in self.callers:
                 caller.tick()
 
-    def outcomes(self) -> list[Outcome]:
-        """Return how the requests ended."""
-        return self.judge.outcomes
-
     async def close(self) -> None:
         """End everything that this world started."""
         self.asking = False
