Pass deletions on that the watching host never saw as keys

Cause, found by an exhaustive search of two hosts and a store over seven steps: a host that starts, lists the store and takes the watch over does not know which keys were deleted before its list, so its newest change is older than the copies of others, and they keep a target that is gone. The same holds for a key that came and went within one set of changes: its deletion was not recorded. Mend: a host that begins to watch, or lists anew, reports the revision of its list as the newest change; deletions of unknown keys are recorded. Ruled out: reporting the list's revision from every start, since each start would then make all hosts of the zone ask.

--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -93,6 +93,8 @@
         if watching != self.watching:
             self.watching = watching
             self.journal.event("watch_begun" if watching else "watch_ended")
+            if watching:
+                self.replica.vouch()
         return watching
 
     async def step(self) -> bool:
@@ -100,6 +102,7 @@
         if self.relist or not self.replica.listed:
             listing = await self.store.range("")
             self.replica.apply_listing(listing.items, listing.revision)
+            self.replica.vouch()
             self.relist = False
             return True
         self.woken.clear()
--- a/packages/godwitway/src/godwitway/steering/_replica.py
+++ b/packages/godwitway/src/godwitway/steering/_replica.py
@@ -112,20 +112,27 @@
         self.on_change(item.key, item.value, item.mod_revision)
 
     def remove(self, key: str, revision: int) -> None:
-        """Take a key out."""
-        if self.items.pop(key, None) is None:
-            return
+        """Take a key out; that it is gone is also kept for hosts that may have it still."""
+        known = self.items.pop(key, None) is not None
         self.deletions.append((key, revision))
         if len(self.deletions) > DELETIONS_KEPT:
             self.floor = self.deletions.popleft()[1]
         self.note(key, revision)
-        self.on_change(key, None, revision)
+        if known:
+            self.on_change(key, None, revision)
 
     def note(self, key: str, revision: int) -> None:
         """Take note of the newest change that other hosts should know of."""
         if key.startswith(self.prefixes):
             self.newest = max(self.newest, revision)
 
+    def vouch(self) -> None:
+        """Have other hosts ask for the deletions that a list did not show; for hosts that watch.
+
+        A list lacks keys that were written and deleted before it, which others may still have.
+        """
+        self.newest = max(self.newest, self.floor)
+
     def since(self, revision: int) -> Difference:
         """Return what a copy that is complete up to a revision lacks."""
         if revision < self.floor or not revision:
--- a/packages/godwitway/tests/steering/test_replica.py
+++ b/packages/godwitway/tests/steering/test_replica.py
@@ -143,3 +143,12 @@
             replicas[asking].apply(replicas[0].since(replicas[asking].revision))
             items = {key: item.value for key, item in replicas[asking].items.items()}
             assert items == state
+
+    def test_a_deletion_of_an_unknown_key_is_passed_on(self):
+        """A key that came and went between two asks may be known elsewhere."""
+        replica, changes = build_replica()
+        replica.apply_listing([], 5)
+        replica.apply_events([WatchEvent("k/a", None, 7)], 7)
+        assert not changes
+        assert replica.newest == 7
+        assert replica.since(6).deleted == [("k/a", 7)]
