Divide the hosts of large zones into groups

Hosts of a zone told each other everything, so that what a host sends grew with its zone: 950 hosts in a zone would make 9,500 datagrams a second at each. Beyond 24 hosts a zone's hosts now fall into groups by a hash of their addresses, tell their loads within a group only and place flows on their group's block of each service's targets. The first two hosts of each group pass changes of the store on between the groups; two of them watch the store. The choice of watching hosts goes by that order and not by a random number, since hosts of other groups know it without having heard the host. Loads of peers are summed when reports come, not for each target of each placement, and targets of other zones are not looked at where even an idle one would cost more. Ruled out: random listeners at each report (loads of a target that 100 hosts use are known too late), aggregation at some hosts (a second level that can fail).

--- a/packages/godwitway/src/godwitway/steering/_catalog.py
+++ b/packages/godwitway/src/godwitway/steering/_catalog.py
@@ -43,6 +43,7 @@
         by_service: The present targets of each service.
         departed: When each target that is gone left, by id, in seconds.
         ever_allowed: The services that each route has led to while this process ran.
+        generation: Rises whenever a target is announced or taken out.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "config",
         "departed",
         "ever_allowed",
+        "generation",
         "routes",
         "targets",
     )
@@ -63,6 +65,7 @@
         self.by_service: dict[str, list[Target]] = {}
         self.departed: dict[str, float] = {}
         self.ever_allowed: dict[bytes, frozenset[str]] = {}
+        self.generation = 0
 
     def apply_config(self, config: FleetConfig) -> bool:
         """Put a configuration in force; returns False for one that is not newer."""
@@ -87,6 +90,7 @@
         for field in ANNOUNCED_FIELDS:
             setattr(target, field, getattr(announced, field))
         self.by_service.setdefault(target.service, []).append(target)
+        self.generation += 1
         return target
 
     def returning(self, announced: Target) -> Target:
@@ -115,6 +119,7 @@
         if target is not None:
             self.by_service[target.service].remove(target)
             self.departed[target_id] = now
+            self.generation += 1
         return target
 
     def forget_departed(self, now: float) -> None:
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -19,7 +19,6 @@
 from godwitway.steering._rotation import Rotation
 from godwitway.steering._settings import SteeringSettings
 from godwitway.steering._steering import CallerPort, Steering
-from godwitway.steering._watchers import watches
 from godwitway.store import RangeResult
 
 __all__ = ["Formats", "SteeringCore"]
@@ -104,7 +103,8 @@
             self.metrics,
             self.journal,
         )
-        self.steering.peer_loads = self.peers.loads_at
+        self.steering.peer_loads = self.peers.totals
+        self.steering.groups = self.peers.groups
         self.peers.on_push = self.replica.apply
         self.rotation = Rotation(self.steering, self.peers)
 
@@ -159,15 +159,7 @@
 
     def watches(self) -> bool:
         """Whether this host watches the store for its zone."""
-        peers = self.peers
-        return watches(
-            peers.boot,
-            peers.reaches_store,
-            peers.zone,
-            peers.by_address.values(),
-            self.now(),
-            peers.watchers(),
-        )
+        return self.peers.watches(self.now())
 
     def target_restarted(self, target_id: str) -> None:
         """Forget what was known of a target's earlier incarnation."""
@@ -207,6 +199,7 @@
             "ready": self.steering.ready,
             "leaving": self.leaving,
             "in_rotation": self.peers.in_rotation,
+            "group": self.group_state(),
             "yielding": self.rotation.yielding,
             "demand": self.rotation.demand(),
             "config": {
@@ -225,6 +218,11 @@
             "metrics": self.metrics.as_json(),
         }
 
+    def group_state(self) -> dict[str, Any]:
+        """Return how this host's zone is divided."""
+        groups = self.peers.groups
+        return {"number": groups.index, "of": groups.count, "hosts": len(groups.members) + 1}
+
     def peer_state(self, address: Address, now: float) -> dict[str, Any]:
         """Return what this host knows of a peer."""
         peer = self.peers.by_address[address]
@@ -237,7 +235,7 @@
 
     def target_state(self, target: Target, now: float) -> dict[str, Any]:
         """Return what this host believes of a target."""
-        load = self.steering.view(target)
+        busy, idle = self.steering.view(target)
         evidence = self.steering.evidence.get(target.id)
         return {
             "id": target.id,
@@ -246,8 +244,8 @@
             "token": target.token,
             "draining": target.draining,
             "cold": now < target.cold_until,
-            "busy": load.busy,
-            "idle": load.idle,
+            "busy": busy,
+            "idle": idle,
             "suspected": self.steering.suspected(target, now),
             "stalled_flows": len(evidence.stalls) if evidence else 0,
             "held": target.id in self.announcements.held,
--- a/packages/godwitway/src/godwitway/steering/_loads.py
+++ b/packages/godwitway/src/godwitway/steering/_loads.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from godwitway.addresses import Address
+from godwitway.steering._groups import rank_of
 
 __all__ = ["HEAD_BYTES", "PeerLoads", "Report", "decode_report", "encode_report", "zone_code"]
 
@@ -128,6 +129,8 @@
 
     Attributes:
         address: Where the peer takes reports.
+        rank: Its place in the order of its zone's hosts.
+        registered: Whether the store names it.
         boot: The random number of its process.
         heard_at: When its last report came, in seconds.
         loads: Requests in progress and idle flows by route token.
@@ -147,12 +150,16 @@
         "in_rotation",
         "loads",
         "newest",
+        "rank",
         "reaches_store",
+        "registered",
         "zone",
     )
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self.rank = rank_of(address)
+        self.registered = False
         self.boot = 0
         self.heard_at: float | None = None
         self.loads: dict[int, tuple[int, int]] = {}
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -8,6 +8,7 @@
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
 from godwitway.steering._changes import decode_push, encode_push
+from godwitway.steering._groups import ZoneGroups, rank_of
 from godwitway.steering._loads import (
     PeerLoads,
     Report,
@@ -15,9 +16,9 @@
     encode_report,
     zone_code,
 )
-from godwitway.steering._model import Target
 from godwitway.steering._replica import Difference
 from godwitway.steering._steering import Steering
+from godwitway.steering._watchers import is_among_first
 from godwitway.store import KeyValue
 
 __all__ = ["HOSTS_PREFIX", "REPORT_S", "Member", "Peers"]
@@ -27,7 +28,8 @@
 REFRESH_TICKS = 5  # An unchanged host is heard twice a second.
 REPEAT_TICKS = 2  # A lost report is made up for by the next one.
 FORGET_S = 30.0  # Half the lease that names a host in the store.
-SMALL_FLEET = 16  # Up to this size all hosts report to each other, beyond it only a zone's.
+SMALL_FLEET = 16  # Up to this size all hosts report to each other, beyond it only a group's.
+LEADERS = 2  # One of them may be cut off from the store without a sign for as long as a bound.
 
 
 class Member:
@@ -62,10 +64,14 @@
         own: This host.
         boot: A random number of this process.
         by_address: Peers by the address of their reports.
+        registered: The address of each host that the store names, by key.
+        groups: How the hosts of this zone are divided.
+        divided: Whether the division is up to date.
+        totals: What all peers together see at each route token: requests and idle flows.
         zone: The code of this host's zone.
         send: Sends a datagram to a peer.
         on_report: Called with a peer that has just reported.
-        on_push: Called with changes of the store that a peer has sent.
+        on_push: Called with a peer's changes of the store; returns whether they are new.
         versions: Returns the configuration's version and the newest change that this host knows.
         in_rotation: Whether this host asks for packets.
         cut_off: Whether this host's zone is cut off and short of targets.
@@ -89,8 +95,13 @@
         self.metrics = metrics
         self.journal = journal
         self.by_address: dict[Address, PeerLoads] = {}
+        self.registered: dict[str, Address] = {}
+        self.groups = ZoneGroups(own.address)
+        self.divided = False
+        self.totals: dict[int, tuple[int, int]] = {}
+        self.rank = rank_of(own.address)
         self.zone = zone_code(own.zone)
-        self.on_push: Callable[[Difference], None] = lambda difference: None
+        self.on_push: Callable[[Difference], bool] = lambda difference: False
         self.on_report: Callable[[PeerLoads], None] = lambda peer: None
         self.in_rotation = False
         self.cut_off = False
@@ -99,39 +110,105 @@
         self.tick = 0
 
     def member_changed(self, key: str, value: bytes | None, revision: int) -> None:
-        """Add a host that is registered in the store; one that has gone falls silent by itself."""
+        """Add a host that is registered in the store, or drop a silent one that no longer is."""
         if value is None:
+            self.unregister(key)
             return
         member = member_of(key, value)
         if member is None:
             self.metrics.count("entries_rejected", "host")
             self.journal.event("entry_rejected", key=key, reason="not a host", revision=revision)
         elif member.name != self.own.name:
+            if self.registered.get(key) != member.address:
+                self.unregister(key)
+            self.registered[key] = member.address
             peer = self.by_address.setdefault(member.address, PeerLoads(member.address))
+            peer.registered = True
             peer.zone = zone_code(member.zone)
+            self.divided = False
+
+    def unregister(self, key: str) -> None:
+        """Take note that the store no longer names a host; one that is heard falls silent later."""
+        address = self.registered.pop(key, None)
+        if address is None or address in self.registered.values():
+            return
+        peer = self.by_address[address]
+        peer.registered = False
+        if not peer.alive(self.steering.now()):
+            self.forget(peer)
+
+    def forget(self, peer: PeerLoads) -> None:
+        """Drop a peer."""
+        self.forget_loads(peer)
+        del self.by_address[peer.address]
+        self.divided = False
+        self.journal.event("peer_forgotten", peer=format_address(peer.address))
+
+    def small(self) -> bool:
+        """Whether the fleet is so small that all its hosts report to each other."""
+        return len(self.by_address) < SMALL_FLEET
+
+    def divide(self) -> None:
+        """Divide the zone's hosts anew after some came or went."""
+        zonal = [peer for peer in self.by_address.values() if peer.zone == self.zone]
+        before = self.groups.count
+        self.groups.divide([peer.address for peer in zonal], LEADERS, self.small())
+        self.divided = True
+        for peer in self.by_address.values():
+            if not self.small() and peer.address not in self.groups.members:
+                self.forget_loads(peer)
+        if self.groups.count != before:
+            self.journal.event("zone_divided", groups=self.groups.count, hosts=len(zonal) + 1)
+
+    def group(self) -> list[PeerLoads]:
+        """Return the other hosts of this host's group."""
+        if not self.divided:
+            self.divide()
+        return [self.by_address[address] for address in self.groups.members]
 
     def listeners(self) -> list[Address]:
         """Return the hosts that this one reports to."""
-        if len(self.by_address) < SMALL_FLEET:
-            return list(self.by_address)
-        return [peer.address for peer in self.by_address.values() if self.near(peer)]
+        group = self.group()
+        return list(self.by_address) if self.small() else [peer.address for peer in group]
+
+    def others_of_zone(self) -> list[Address]:
+        """Return the hosts of other groups that pass changes on, as far as they are known."""
+        now = self.steering.now()
+        heard = {
+            peer.address
+            for peer in self.by_address.values()
+            if peer.zone == self.zone
+            and peer.address not in self.groups.members
+            and peer.alive(now)
+        }
+        return list(heard.union(self.groups.heads))
+
+    def leads(self, now: float) -> bool:
+        """Whether this host passes changes of the store on between its group and the others."""
+        return is_among_first(self.rank, self.reaches_store, self.group(), now, LEADERS)
+
+    def watches(self, now: float) -> bool:
+        """Whether this host watches the store for its zone.
+
+        Hosts hear their own group and those of other groups that pass changes on.
+        """
+        zonal = [peer for peer in self.by_address.values() if peer.zone == self.zone]
+        return is_among_first(self.rank, self.reaches_store, zonal, now, self.watchers())
 
     def watchers(self) -> int:
         """Return how many hosts of a zone watch the store.
 
-        One of them may be cut off from the store without a sign for as long as a bound. Where
-        hosts of several zones report to each other, another zone's watch makes up for it.
+        Where hosts of several zones report to each other, another zone's watch makes up for one
+        that has ended without a sign.
         """
-        several_zones = any(not self.near(peer) for peer in self.by_address.values())
-        return 1 if len(self.by_address) < SMALL_FLEET and several_zones else 2
-
-    def near(self, peer: PeerLoads) -> bool:
-        """Whether a peer is in this host's zone, or its zone is not known yet."""
-        return peer.zone is None or peer.zone == self.zone
+        several_zones = any(peer.zone != self.zone for peer in self.by_address.values())
+        return 1 if self.small() and several_zones else LEADERS
 
     def report(self) -> None:
         """Tell the other hosts what changed; called every `REPORT_S`."""
         self.tick += 1
+        if self.tick % REFRESH_TICKS == 0:
+            self.forget_silent_loads()
         table = self.steering.table
         refresh = self.tick % REFRESH_TICKS == 0
         changed, table.changed = table.changed, set()
@@ -153,28 +230,43 @@
             self.reaches_store,
             loads,
         )
+        listeners = self.listeners()
         for datagram in encode_report(report):
-            for address in self.listeners():
-                self.send(datagram, address)
+            self.send_all(datagram, listeners)
+        if refresh and self.groups.count > 1 and self.leads(self.steering.now()):
+            report.loads = []
+            for datagram in encode_report(report):
+                self.send_all(datagram, self.others_of_zone())
+
+    def send_all(self, datagram: bytes, addresses: list[Address]) -> None:
+        """Send a datagram to some hosts."""
+        for address in addresses:
+            self.send(datagram, address)
 
     def push(self, difference: Difference) -> None:
         """Send changes of the store to the other hosts; lost ones are asked for."""
         datagram = encode_push(difference)
         if datagram is not None:
-            for address in self.listeners():
-                self.send(datagram, address)
+            self.send_all(datagram, self.listeners())
+            if self.groups.count > 1:
+                self.send_all(datagram, self.others_of_zone())
+
+    def take_push(self, datagram: bytes, source: Address) -> bool:
+        """Take over changes that a peer has sent; returns whether the datagram has any.
 
-    def take_push(self, datagram: bytes) -> bool:
-        """Take over changes that a peer has sent; returns whether the datagram has any."""
+        Changes from another group are sent on to the own one.
+        """
         try:
             difference = decode_push(datagram)
         except ValueError as error:
             self.metrics.count("reports_rejected")
-            self.journal.event("changes_failed", peer=None, reason=str(error))
+            self.journal.event("changes_failed", peer=format_address(source), reason=str(error))
             return True
         if difference is None:
             return False
-        self.on_push(difference)
+        new = self.on_push(difference)
+        if new and self.groups.count > 1 and source not in self.groups.members:
+            self.send_all(datagram, self.listeners())
         return True
 
     def suspected_targets(self) -> set[str]:
@@ -199,7 +291,7 @@
 
     def take(self, datagram: bytes, source: Address) -> None:
         """Take over a peer's report, or changes of the store that it sends."""
-        if self.take_push(datagram):
+        if self.take_push(datagram, source):
             return
         report = decode_report(datagram)
         if report is None:
@@ -211,20 +303,23 @@
         peer = self.by_address.get(source)
         if peer is None:
             peer = self.by_address[source] = PeerLoads(source)
+            self.divided = False
         if peer.boot != report.boot:
             peer.boot = report.boot
-            peer.loads.clear()
+            self.forget_loads(peer)
             self.journal.event("peer_heard", peer=format_address(source), boot=report.boot)
         peer.heard_at = now
         peer.config_version = report.config_version
         peer.newest = report.newest
         peer.reaches_store = report.reaches_store
-        peer.zone = report.zone
+        if peer.zone != report.zone:
+            peer.zone = report.zone
+            self.divided = False
         peer.in_rotation = report.in_rotation
         peer.cut_off = report.cut_off
         in_zone = report.zone == self.zone
         for token, busy, idle, suspected in report.loads:
-            peer.loads[token] = (busy, idle)
+            self.take_load(peer, token, busy, idle)
             if suspected and in_zone:
                 self.suspected_by_peer(token, peer, now)
         self.on_report(peer)
@@ -235,20 +330,36 @@
         if target is not None:
             self.steering.evidence_of(target).suspected_by[peer.boot] = now
 
-    def loads_at(self, target: Target) -> tuple[int, int]:
-        """Return the requests in progress and idle flows that live peers see at a target."""
+    def take_load(self, peer: PeerLoads, token: int, busy: int, idle: int) -> None:
+        """Take over a peer's load of one target, and keep the totals in step."""
+        before_busy, before_idle = peer.loads.get(token, (0, 0))
+        total_busy, total_idle = self.totals.get(token, (0, 0))
+        total = (total_busy + busy - before_busy, total_idle + idle - before_idle)
+        peer.loads[token] = (busy, idle)
+        self.totals[token] = total
+        if not busy and not idle:
+            del peer.loads[token]
+        if total == (0, 0):
+            del self.totals[token]
+
+    def forget_loads(self, peer: PeerLoads) -> None:
+        """Drop the loads that a peer has reported."""
+        for token in list(peer.loads):
+            self.take_load(peer, token, 0, 0)
+
+    def forget_silent_loads(self) -> None:
+        """Drop the loads of peers that were not heard lately."""
         now = self.steering.now()
-        busy = idle = 0
         for peer in self.by_address.values():
-            load = peer.loads.get(target.token)
-            if load is not None and peer.alive(now):
-                busy += load[0]
-                idle += load[1]
-        return busy, idle
+            if peer.loads and not peer.alive(now):
+                self.forget_loads(peer)
 
     def forget_silent(self, now: float) -> None:
-        """Drop peers that were not heard for a while."""
-        for address, peer in list(self.by_address.items()):
-            if peer.heard_at is not None and now - peer.heard_at > FORGET_S:
-                del self.by_address[address]
-                self.journal.event("peer_forgotten", peer=format_address(address))
+        """Drop peers that the store does not name and that were not heard for a while."""
+        silent = [
+            peer
+            for peer in self.by_address.values()
+            if not peer.registered and not peer.alive(now, FORGET_S)
+        ]
+        for peer in silent:
+            self.forget(peer)
--- a/packages/godwitway/src/godwitway/steering/_rotation.py
+++ b/packages/godwitway/src/godwitway/steering/_rotation.py
@@ -22,7 +22,7 @@
     """Decides whether this host asks for packets.
 
     Attributes:
-        totals: Requests in progress for each service from this zone's hosts, smoothed.
+        totals: Requests in progress for each service from the own group's hosts, smoothed.
         weight: How much of the smoothed totals comes from samples; 1 after many of them.
         yielding: Why this host gives its packets to others, or an empty string.
     """
@@ -50,7 +50,7 @@
         self.peers.cut_off = reason == "zone_short"
 
     def demand(self) -> dict[str, float]:
-        """Return the usual requests in progress for each service from this zone's hosts."""
+        """Return the usual requests in progress for each service from the own group's hosts."""
         if not self.weight:
             return {}
         return {service: round(total / self.weight, 2) for service, total in self.totals.items()}
@@ -86,30 +86,30 @@
         return [target for target in catalog.targets.values() if not target.draining]
 
     def short_of_slots(self, reachable: list[Target]) -> bool:
-        """Whether some service has less slots than its usual requests need."""
+        """Whether some service has less slots than its usual requests need.
+
+        The demand is that of a group, whose part of the zone's callers is its part of the hosts.
+        """
+        share = self.peers.groups.share
         slots: dict[str, int] = {}
         for target in reachable:
             slots[target.service] = slots.get(target.service, 0) + target.slots
         return any(
-            requests > USABLE_SHARE * slots.get(service, 0)
+            requests > USABLE_SHARE * share * slots.get(service, 0)
             for service, requests in self.demand().items()
         )
 
     def peers_cut_off(self, now: float) -> bool:
-        """Whether at least half of this zone's other hosts found the zone cut off and short."""
+        """Whether at least half of the own group's other hosts found the zone cut off."""
         peers = self.zone_peers(now)
         return bool(peers) and 2 * sum(peer.cut_off for peer in peers) >= len(peers)
 
     def zone_peers(self, now: float) -> list[PeerLoads]:
-        """Return the live hosts of this zone but this one."""
-        return [
-            peer
-            for peer in self.peers.by_address.values()
-            if peer.zone == self.peers.zone and peer.alive(now, PEER_FRESH_S)
-        ]
+        """Return the live hosts of this zone's group but this one."""
+        return [peer for peer in self.peers.group() if peer.alive(now, PEER_FRESH_S)]
 
     def sample_demand(self, now: float) -> None:
-        """Take the present requests of this zone's hosts into the smoothed demand."""
+        """Take the present requests of the own group's hosts into the smoothed demand."""
         busy: dict[str, float] = dict.fromkeys(self.totals, 0.0)
         peers = self.zone_peers(now)
         for target in self.steering.catalog.targets.values():
@@ -125,10 +125,10 @@
     def may_leave(self) -> bool:
         """Whether routers keep to the zone's other hosts when this one leaves.
 
-        With fewer than half of a zone's hosts in rotation they use all of them, also those that
-        have gone.
+        Hosts of a group hear each other, and stand for the others of the zone. With fewer than
+        half of a zone's hosts in rotation, routers use all of them, also those that have gone.
         """
         now = self.steering.now()
-        others = [peer for peer in self.peers.by_address.values() if peer.zone == self.peers.zone]
+        others = self.peers.group()
         serving = sum(peer.in_rotation and peer.alive(now, PEER_FRESH_S) for peer in others)
         return not others or 2 * serving >= len(others) + 1
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -9,6 +9,7 @@
 from godwitway.steering._catalog import Catalog
 from godwitway.steering._evidence import TargetEvidence
 from godwitway.steering._flows import FlowTable, SeenFlow, advances, is_after
+from godwitway.steering._groups import Candidates, ZoneGroups
 from godwitway.steering._model import (
     DropReason,
     FlowPacket,
@@ -17,13 +18,14 @@
     Route,
     Target,
 )
-from godwitway.steering._placement import LoadView, choose_service, choose_target
+from godwitway.steering._placement import Assessment, choose_service, choose_target
 
 __all__ = ["CallerPort", "Steering"]
 
 # Less than the 200 ms after which callers repeat a packet, and far more than a packet that was
 # overtaken on its way is late.
 STALL_S = 0.15
+NO_ADDRESS = ("", 0)  # Of a host without peers.
 
 
 class CallerPort(Protocol):
@@ -55,7 +57,8 @@
         catalog: The configuration and targets.
         table: The flows that this host sees.
         evidence: What is known of targets' reachability, by id.
-        peer_loads: Returns requests in progress and idle flows that peers see at a target.
+        peer_loads: Requests in progress and idle flows that peers see, by route token.
+        groups: How the zone's hosts divide its targets.
         zone: This host's availability zone.
         now: The process's clock in seconds.
         metrics: Counters.
@@ -86,7 +89,10 @@
         self.journal = journal
         self.table = FlowTable()
         self.evidence: dict[str, TargetEvidence] = {}
-        self.peer_loads: Callable[[Target], tuple[int, int]] = lambda target: (0, 0)
+        self.peer_loads: dict[int, tuple[int, int]] = {}
+        self.groups = ZoneGroups(NO_ADDRESS)
+        self.candidates: dict[str, Candidates] = {}
+        self.candidates_of = (0, 0)
         self.on_stall: Callable[[Target], None] = lambda target: None
         self.on_suspicion: Callable[[Target], None] = lambda target: None
         self.ready = False
@@ -141,14 +147,14 @@
         else:
             self.table.add(packet.flow, SeenFlow(target, route, now))
         self.metrics.count("flows_placed", "again" if tried else "first")
-        load = self.view(target)
+        busy, idle = self.view(target)
         self.journal.event(
             "place",
             packet.flow,
             route=route.name,
             target=target.id,
-            busy=load.busy,
-            idle=load.idle,
+            busy=busy,
+            idle=idle,
             tried=len(tried),
             version=self.catalog.config.version,
         )
@@ -156,24 +162,34 @@
 
     def place(self, route: Route, tried: list[str], now: float) -> Target | None:
         """Choose a target for a new flow of a route."""
-        service = choose_service(route.shares, self.rng)
-        present = self.catalog.by_service.get(service, [])
-        fit = [target for target in present if not target.draining]
-        untried = [target for target in fit if target.id not in tried] or fit
-        return choose_target(
-            untried,
-            self.view,
-            lambda target: self.suspected(target, now),
-            self.zone,
-            now,
-            self.rng,
-        )
-
-    def view(self, target: Target) -> LoadView:
-        """Return a target's load from this host's and its peers' flows."""
+        candidates = self.candidates_for(choose_service(route.shares, self.rng))
+        factor = candidates.factor
+
+        def assess(target: Target) -> Assessment:
+            busy, idle = self.view(target)
+            evidence = self.evidence.get(target.id)
+            suspected = evidence is not None and evidence.suspected(now)
+            return busy * factor, idle * factor, suspected
+
+        return choose_target(candidates, assess, now, self.rng, tried)
+
+    def candidates_for(self, service: str) -> Candidates:
+        """Return a service's targets, divided anew when targets or groups have changed."""
+        present = (self.catalog.generation, self.groups.generation)
+        if present != self.candidates_of:
+            self.candidates.clear()
+            self.candidates_of = present
+        candidates = self.candidates.get(service)
+        if candidates is None:
+            targets = self.catalog.by_service.get(service, [])
+            candidates = self.candidates[service] = self.groups.candidates(targets, self.zone)
+        return candidates
+
+    def view(self, target: Target) -> tuple[int, int]:
+        """Return requests in progress and idle flows at a target, as hosts here report them."""
         own = self.table.loads.get(target.id)
-        busy, idle = self.peer_loads(target)
-        return LoadView(busy + own.busy, idle + own.idle) if own else LoadView(busy, idle)
+        busy, idle = self.peer_loads.get(target.token, (0, 0))
+        return (busy + own.busy, idle + own.idle) if own else (busy, idle)
 
     def suspected(self, target: Target, now: float) -> bool:
         """Whether a target is thought to be unreachable."""
--- a/packages/godwitway/src/godwitway/steering/_watchers.py
+++ b/packages/godwitway/src/godwitway/steering/_watchers.py
@@ -1,40 +1,37 @@
-"""Which hosts of a zone watch the store for the others."""
+"""Which hosts of a zone watch the store for the others, and which pass its changes on."""
 
 from collections.abc import Iterable
 
+from godwitway.addresses import Address
 from godwitway.steering._loads import PeerLoads
 
-__all__ = ["watches"]
+__all__ = ["is_among_first"]
 
 PEER_FRESH_S = 0.8  # Hosts are heard at least twice a second.
 
 
-def watches(
-    boot: int,
+def is_among_first(
+    rank: tuple[int, Address],
     reaches_store: bool,
-    zone: int,
     peers: Iterable[PeerLoads],
     now: float,
-    watchers: int,
+    wanted: int,
 ) -> bool:
-    """Whether a host watches the store for its zone.
+    """Whether a host is one of the first of some hosts.
 
-    Hosts that reach the store come first, then those with the lowest random number. No agreement
-    is needed: two hosts with different pictures cost a call or a little time, never a change,
-    since each host compares its revision with what the others report.
+    Hosts that reach the store come first, then those with the lowest rank. No agreement is
+    needed: two hosts with different pictures cost a call or a little time, never a change, since
+    each host compares its revision with what the others report.
 
     Args:
-        boot: The random number of the host's process.
+        rank: The host's place in the order of its zone.
         reaches_store: Whether its last call of the store was answered.
-        zone: The code of its zone.
-        peers: The other hosts that it knows.
+        peers: The other hosts of the zone, or of a group, that it knows.
         now: The time in seconds.
-        watchers: How many hosts of a zone watch.
+        wanted: How many hosts are to be chosen.
     """
-    own = (not reaches_store, boot)
+    own = (not reaches_store, rank)
     before = sum(
-        (not peer.reaches_store, peer.boot) < own
-        for peer in peers
-        if peer.zone == zone and peer.alive(now, PEER_FRESH_S)
+        (not peer.reaches_store, peer.rank) < own for peer in peers if peer.alive(now, PEER_FRESH_S)
     )
-    return before < watchers
+    return before < wanted
--- a/packages/godwitway/tests/steering_builders.py
+++ b/packages/godwitway/tests/steering_builders.py
@@ -17,8 +17,9 @@
 from godwitway.steering._catalog import Catalog
 from godwitway.steering._core import SteeringCore
 from godwitway.steering._loads import Report, zone_code
-from godwitway.steering._replica import Replica
+from godwitway.steering._replica import Difference, Replica
 from godwitway.steering._settings import SteeringSettings
+from godwitway.store import KeyValue
 
 BOARD = b"\x01\x00board"
 BID = b"\x02\x00bid"
@@ -144,6 +145,11 @@
     return SteeringCore(settings, JsonFormats(), RecordingPort(), list, clock.now), clock
 
 
+def build_difference() -> Difference:
+    """Return a change of one key."""
+    return Difference(40, 41, False, [KeyValue("k/a", b"1", 41)], [])
+
+
 class SteeringWorld:
     """A host's steering with targets, a clock and recording ports.
 
