Suspect no target while this host's own link was full a moment ago

Mend: the comparison is a bare connection that must open within 0.1 s, and a health check without an answer counts only when no comparison failed in the second before. Ruled out: a longer wait for health checks (the rest of a cut zone would be noticed late). Before: the new test of a full link fails. After: the tests of steering and of the links pass.

--- a/packages/godwitway/src/godwitway/steering/_evidence.py
+++ b/packages/godwitway/src/godwitway/steering/_evidence.py
@@ -1,6 +1,6 @@
 """What callers' packets and health checks say about whether a target is reachable and alive."""
 
-__all__ = ["TargetEvidence"]
+__all__ = ["NEVER_S", "TargetEvidence"]
 
 STALLED_FLOWS = 2  # One flow may have lost packets by itself; several at one target have not.
 STALL_VALID_S = 1.5  # The longest pause between two retransmissions of a caller.
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -15,7 +15,7 @@
 from godwitway.steering._feed import Feed
 from godwitway.steering._loads import PeerLoads
 from godwitway.steering._membership import keep_registered, keep_reporting
-from godwitway.steering._probes import Probe, Probes
+from godwitway.steering._probes import Probe, Probes, Reach
 from godwitway.steering._settings import SteeringSettings
 from godwitway.store import FleetStore, StoreError
 
@@ -42,6 +42,7 @@
         """Return a client of the store with a connection of its own."""
 
     probe: Probe
+    reach: Reach
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
@@ -91,7 +92,7 @@
             core.metrics,
             core.journal,
         )
-        self.probes = Probes(core.steering, links.probe, self.spawn)
+        self.probes = Probes(core.steering, links.probe, links.reach, self.spawn)
 
     async def run(self) -> None:
         """Serve until a planned stop is complete or a task has failed."""
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -3,19 +3,22 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from godwitway.steering._evidence import TargetEvidence
+from godwitway.steering._evidence import NEVER_S, TargetEvidence
 from godwitway.steering._model import Target
 from godwitway.steering._steering import Steering
 
-__all__ = ["Probe", "Probes"]
+__all__ = ["Probe", "Probes", "Reach"]
 
 PROBE_TIMEOUT_S = 0.2  # Twenty round trips between zones.
 PROBE_CONNECTIONS = 2  # At 2.5% loss, both handshakes are lost once in 400 times.
 SILENT_S = 0.1  # Half of `PROBE_TIMEOUT_S`: such an answer came after the doubt.
 PROBE_PAUSE_S = 0.5  # Health checks are priced and take a slot.
+CONTROL_S = 0.1  # Ten round trips between zones.
+LINK_DOUBT_S = 1.0  # Twice the wait at a link from which on the platform calls a host slow.
 DOUBT_S = 0.3  # A target that just answered other callers is not dead.
 
 Probe = Callable[[Target, str, float], Awaitable[bool | None]]
+Reach = Callable[[Target, float], Awaitable[bool]]
 
 
 class Probes:
@@ -24,15 +27,23 @@
     Attributes:
         steering: Whose evidence is completed.
         probe: Asks an endpoint: True, False, or None for no answer.
+        reach: Returns whether a target takes a connection within a time.
         spawn: Runs a background job.
+        link_doubted_at: When this host last seemed to reach no target in time.
     """
 
     def __init__(
-        self, steering: Steering, probe: Probe, spawn: Callable[[Awaitable[None]], None]
+        self,
+        steering: Steering,
+        probe: Probe,
+        reach: Reach,
+        spawn: Callable[[Awaitable[None]], None],
     ) -> None:
         self.steering = steering
         self.probe = probe
+        self.reach = reach
         self.spawn = spawn
+        self.link_doubted_at = NEVER_S
         steering.on_stall = self.on_stall
         steering.on_suspicion = self.on_suspicion
 
@@ -96,23 +107,25 @@
         """Ask an endpoint; returns what it answers, and whether no answer means anything.
 
         A lost packet of a connection's handshake comes again after a second only, so several
-        connections are opened at once. Silence means something only while a target that answered
-        callers lately still takes a connection: else this host's own link may be full.
+        connections are opened at once. Silence means something only while another target that
+        answered callers lately takes a connection in good time, and none failed to do so just
+        before: else this host's own link may be full, or have been full when the question was
+        sent.
         """
         control = self.control(target)
         answers = await asyncio.gather(
             *(self.probe(target, path, PROBE_TIMEOUT_S) for _ in range(PROBE_CONNECTIONS)),
-            self.ask_control(control),
+            self.reach(control, CONTROL_S) if control else self.no_control(),
         )
         healthy = next((answer for answer in answers[:-1] if answer is not None), None)
-        return healthy, answers[-1] is not None
-
-    async def ask_control(self, control: Target | None) -> bool | None:
-        """Ask a target that should answer."""
-        if control is None:
-            return None
-        terms = self.steering.catalog.config.services.get(control.service)
-        return await self.probe(control, terms.health_path, PROBE_TIMEOUT_S) if terms else None
+        now = self.steering.now()
+        if control is not None and not answers[-1]:
+            self.link_doubted_at = now
+        return healthy, answers[-1] and now - self.link_doubted_at >= LINK_DOUBT_S
+
+    async def no_control(self) -> bool:
+        """Stand in for a target to compare with."""
+        return False
 
     def control(self, doubted: Target) -> Target | None:
         """Return the target of this zone, or else of any, that answered last."""
--- a/packages/godwitway/tests/steering/test_probes.py
+++ b/packages/godwitway/tests/steering/test_probes.py
@@ -4,30 +4,37 @@
 
 from steering_builders import SteeringWorld, build_target
 
-from godwitway.steering._probes import Probes
+from godwitway.steering._probes import CONTROL_S, LINK_DOUBT_S, Probes
 
 
 class ProbeWorld:
     """A host whose first target gets the given answers, one after the other.
 
     Attributes:
-        control: What a target answers that answered callers lately.
+        control: Whether a target that answered callers lately takes a connection.
     """
 
-    def __init__(self, *answers: bool | None, control: bool | None = True) -> None:
+    def __init__(self, *answers: bool | None, control: bool = True) -> None:
         self.world = SteeringWorld(build_target(1), build_target(2), build_target(101, zone="b"))
         self.answers = list(answers)
         self.control = control
         self.asked = []
+        self.reached = []
         self.jobs = []
-        self.probes = Probes(self.world.steering, self.probe, self.jobs.append)
+        self.probes = Probes(self.world.steering, self.probe, self.reach, self.jobs.append)
         steering = self.world.steering
         steering.evidence_of(steering.catalog.targets["i-0002"]).progress_at = 99.0
 
     async def probe(self, target, path, timeout_s) -> bool | None:
         """Answer a health check."""
         self.asked.append(target.id)
-        return self.control if target.id == "i-0002" else self.answers.pop(0)
+        return self.answers.pop(0)
+
+    async def reach(self, target, timeout_s) -> bool:
+        """Open a connection."""
+        assert timeout_s == CONTROL_S
+        self.reached.append(target.id)
+        return self.control
 
     def stall(self) -> None:
         """Let one flow make no progress at the first target."""
@@ -59,14 +66,26 @@
         world = ProbeWorld(None, None)
         world.stall()
         assert world.suspected()
-        assert world.asked == ["i-0001", "i-0001", "i-0002"]
+        assert (world.asked, world.reached) == (["i-0001"] * 2, ["i-0002"])
 
     def test_a_host_that_reaches_no_target_suspects_none(self):
         """Its own link may be too full for health checks."""
-        world = ProbeWorld(None, None, control=None)
+        world = ProbeWorld(None, None, control=False)
         world.stall()
         assert not world.suspected()
 
+    def test_a_host_whose_link_was_full_suspects_none(self):
+        """The first packet that comes through again may be one of the other target."""
+        world = ProbeWorld(None, None, None, None, None, None, control=False)
+        world.stall()
+        world.control = True
+        world.world.clock.time += 0.6
+        world.stall()
+        assert not world.suspected()
+        world.world.clock.time += LINK_DOUBT_S
+        world.stall()
+        assert world.suspected()
+
     def test_a_host_that_knows_no_other_target_suspects_none(self):
         """It has nothing to compare with."""
         world = ProbeWorld(None, None)
@@ -104,4 +123,4 @@
         steering.evidence_of(suspect).suspect(100.0)
         steering.note_suspicion(suspect, 100.0)
         asyncio.run(world.jobs.pop())
-        assert world.asked == ["i-0066", "i-0066", "i-0002"]
+        assert (world.asked, world.reached) == (["i-0066"] * 2, ["i-0002"])
