--- a/packages/godwitway/tests/test_router.py
+++ b/packages/godwitway/tests/test_router.py
@@ -160,17 +160,23 @@
         assert not host.refusals()
 
 
+def refused_bid() -> tuple[OneHost, bytes]:
+    """Return a host without free slots and the bid that waited there beyond its deadline."""
+    host = OneHost()
+    host.fill_slots()
+    bid = udp_packet()
+    host.caller(bid)
+    host.clock.time += 1.1
+    host.flows.sweep()
+    return host, bid
+
+
 class TestRefusal:
     """Tests of refusals."""
 
     def test_waiting_too_long_is_refused_truthfully(self):
         """After its deadline a request that was never forwarded gets an ICMP error."""
-        host = OneHost()
-        host.fill_slots()
-        bid = udp_packet()
-        host.caller(bid)
-        host.clock.time += 1.1
-        host.flows.sweep()
+        host, bid = refused_bid()
         refused = [
             data for data in host.refusals() if dpkt.ip.IP(data).dst == bytes([172, 16, 0, 1])
         ]
@@ -180,12 +186,7 @@
 
     def test_a_refused_bid_stays_refused(self):
         """A late copy of a refused at-most-once request is refused again, not run."""
-        host = OneHost()
-        host.fill_slots()
-        bid = udp_packet()
-        host.caller(bid)
-        host.clock.time += 1.1
-        host.flows.sweep()
+        host, bid = refused_bid()
         for key, record in list(host.flows.table.items()):
             host.flows.forget(key, record)
         host.caller(bid)
