--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -17,14 +17,13 @@
 
 import msgspec
 from builders import build_settings, service_document, target_document, tcp_packet
-
 from godwitway.connection import ExpiryWheel, FlowRecord, FlowState, Ledger, OwnedTarget
+from godwitway.journal import Journal
 from godwitway.process import Clock, LoopClock, Metrics, UdpPort
 from godwitway.process._answers import Answers
 from godwitway.process._directory import Directory
 from godwitway.process._door import Door
 from godwitway.process._flows import Flows
-from godwitway.journal import Journal
 from godwitway.process._loads import LoadReport
 from godwitway.process._member import Member, MemberState
 from godwitway.process._messages import (
