Write once what the steering hosts and their tests wrote twice

Found by reading the change again: the freshness of a peer stood in two modules; the hosts of the own zone were picked out in three places of the peers; the choice of a target repeated the question whether it is suspected, and leaving a zone that of which hosts live; a host's group was worked out by a second formula beside the one for blocks; the tick of a refresh was tested twice; a stand-in coroutine answered for a missing target to compare with. Three tests built peers each for itself, and two a difference. No behaviour changes; no assertion was touched.

--- a/packages/godwitway/src/godwitway/steering/_groups.py
+++ b/packages/godwitway/src/godwitway/steering/_groups.py
@@ -104,10 +104,8 @@
         """
         hosts = sorted([self.own, *others], key=rank_of)
         self.count = 1 if whole else group_count(len(hosts), self.count)
-        position = hosts.index(self.own)
         groups = [hosts[block(len(hosts), index, self.count)] for index in range(self.count)]
-        starts = [index * len(hosts) // self.count for index in range(self.count)]
-        self.index = max(index for index, start in enumerate(starts) if start <= position)
+        self.index = next(index for index, group in enumerate(groups) if self.own in group)
         self.members = frozenset(groups[self.index]) - {self.own}
         self.heads = tuple(
             host
--- a/packages/godwitway/src/godwitway/steering/_loads.py
+++ b/packages/godwitway/src/godwitway/steering/_loads.py
@@ -12,7 +12,15 @@
 from godwitway.addresses import Address
 from godwitway.steering._groups import rank_of
 
-__all__ = ["HEAD_BYTES", "PeerLoads", "Report", "decode_report", "encode_report", "zone_code"]
+__all__ = [
+    "HEAD_BYTES",
+    "PEER_FRESH_S",
+    "PeerLoads",
+    "Report",
+    "decode_report",
+    "encode_report",
+    "zone_code",
+]
 
 MAGIC = 0x67774C32
 HEAD = struct.Struct("<IIIQQB")
@@ -26,6 +34,7 @@
 CUT_OFF = 2
 REACHES_STORE = 4
 PEER_TIMEOUT_S = 2.5  # Five reports of an unchanged host.
+PEER_FRESH_S = 0.8  # Hosts are heard at least twice a second.
 
 
 def zone_code(zone: str) -> int:
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -150,16 +150,19 @@
 
     def divide(self) -> None:
         """Divide the zone's hosts anew after some came or went."""
-        zonal = [peer for peer in self.by_address.values() if peer.zone == self.zone]
-        before = self.groups.count
-        self.groups.divide([peer.address for peer in zonal], LEADERS, self.small())
+        zonal, small, before = self.zonal(), self.small(), self.groups.count
+        self.groups.divide([peer.address for peer in zonal], LEADERS, small)
         self.divided = True
         for peer in self.by_address.values():
-            if not self.small() and peer.address not in self.groups.members:
+            if not small and peer.address not in self.groups.members:
                 self.forget_loads(peer)
         if self.groups.count != before:
             self.journal.event("zone_divided", groups=self.groups.count, hosts=len(zonal) + 1)
 
+    def zonal(self) -> list[PeerLoads]:
+        """Return the other hosts of this host's zone."""
+        return [peer for peer in self.by_address.values() if peer.zone == self.zone]
+
     def group(self) -> list[PeerLoads]:
         """Return the other hosts of this host's group."""
         if not self.divided:
@@ -176,10 +179,8 @@
         now = self.steering.now()
         heard = {
             peer.address
-            for peer in self.by_address.values()
-            if peer.zone == self.zone
-            and peer.address not in self.groups.members
-            and peer.alive(now)
+            for peer in self.zonal()
+            if peer.address not in self.groups.members and peer.alive(now)
         }
         return list(heard.union(self.groups.heads))
 
@@ -192,8 +193,7 @@
 
         Hosts hear their own group and those of other groups that pass changes on.
         """
-        zonal = [peer for peer in self.by_address.values() if peer.zone == self.zone]
-        return is_among_first(self.rank, self.reaches_store, zonal, now, self.watchers())
+        return is_among_first(self.rank, self.reaches_store, self.zonal(), now, self.watchers())
 
     def watchers(self) -> int:
         """Return how many hosts of a zone watch the store.
@@ -207,10 +207,10 @@
     def report(self) -> None:
         """Tell the other hosts what changed; called every `REPORT_S`."""
         self.tick += 1
-        if self.tick % REFRESH_TICKS == 0:
+        refresh = self.tick % REFRESH_TICKS == 0
+        if refresh:
             self.forget_silent_loads()
         table = self.steering.table
-        refresh = self.tick % REFRESH_TICKS == 0
         changed, table.changed = table.changed, set()
         self.recent = [changed, *self.recent[:-1]]
         told = set().union(*self.recent)
--- a/packages/godwitway/src/godwitway/steering/_probes.py
+++ b/packages/godwitway/src/godwitway/steering/_probes.py
@@ -134,7 +134,7 @@
         control = self.control(target)
         answers = await asyncio.gather(
             *(self.probe(target, path, PROBE_TIMEOUT_S) for _ in range(PROBE_CONNECTIONS)),
-            self.reach(control, CONTROL_S) if control else self.no_control(),
+            self.reaches(control),
         )
         healthy = next((answer for answer in answers[:-1] if answer is not None), None)
         now = self.steering.now()
@@ -143,9 +143,9 @@
             self.steering.strained_at = now
         return healthy, answers[-1] and not self.steering.strained(now)
 
-    async def no_control(self) -> bool:
-        """Stand in for a target to compare with."""
-        return False
+    async def reaches(self, control: Target | None) -> bool:
+        """Whether there is a target to compare with, and it takes a connection in good time."""
+        return control is not None and await self.reach(control, CONTROL_S)
 
     def control(self, doubted: Target) -> Target | None:
         """Return the target of this zone, or else of any, that answered last."""
--- a/packages/godwitway/src/godwitway/steering/_rotation.py
+++ b/packages/godwitway/src/godwitway/steering/_rotation.py
@@ -4,7 +4,7 @@
 """
 
 from godwitway.steering._catalog import Catalog
-from godwitway.steering._loads import PeerLoads
+from godwitway.steering._loads import PEER_FRESH_S, PeerLoads
 from godwitway.steering._model import Target
 from godwitway.steering._peers import Peers
 from godwitway.steering._steering import Steering
@@ -13,7 +13,6 @@
 
 DEMAND_SMOOTHING = 0.05  # For samples four times a second: about five seconds.
 USABLE_SHARE = 0.85  # Above this use of the slots, requests wait longer than they run.
-PEER_FRESH_S = 0.8  # Hosts are heard at least twice a second.
 SILENCE_S = 1.0  # Twice the pause between health checks of a suspected target.
 ISOLATED_TARGETS = 2  # One may have died by itself.
 
@@ -128,7 +127,6 @@
         Hosts of a group hear each other, and stand for the others of the zone. With fewer than
         half of a zone's hosts in rotation, routers use all of them, also those that have gone.
         """
-        now = self.steering.now()
         others = self.peers.group()
-        serving = sum(peer.in_rotation and peer.alive(now, PEER_FRESH_S) for peer in others)
+        serving = sum(peer.in_rotation for peer in self.zone_peers(self.steering.now()))
         return not others or 2 * serving >= len(others) + 1
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -170,9 +170,7 @@
 
         def assess(target: Target) -> Assessment:
             busy, idle = self.view(target)
-            evidence = self.evidence.get(target.id)
-            suspected = evidence is not None and evidence.suspected(now)
-            return busy * factor, idle * factor, suspected
+            return busy * factor, idle * factor, self.suspected(target, now)
 
         return choose_target(candidates, assess, now, self.rng, tried)
 
--- a/packages/godwitway/src/godwitway/steering/_watchers.py
+++ b/packages/godwitway/src/godwitway/steering/_watchers.py
@@ -3,12 +3,10 @@
 from collections.abc import Iterable
 
 from godwitway.addresses import Address
-from godwitway.steering._loads import PeerLoads
+from godwitway.steering._loads import PEER_FRESH_S, PeerLoads
 
 __all__ = ["is_among_first"]
 
-PEER_FRESH_S = 0.8  # Hosts are heard at least twice a second.
-
 
 def is_among_first(
     rank: tuple[int, Address],
--- a/packages/godwitway/tests/steering/test_changes.py
+++ b/packages/godwitway/tests/steering/test_changes.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from steering_builders import build_replica
+from steering_builders import build_difference, build_replica
 
 from godwitway.steering._changes import (
     MAX_DECODED_BYTES,
@@ -22,11 +22,6 @@
 from godwitway.store import KeyValue
 
 
-def build_difference(size: int = 3, full: bool = False) -> Difference:
-    """Return a difference with one item and one deletion."""
-    return Difference(4, 9, full, [KeyValue("k/a", b"x" * size, 8)], [("k/b", 9)])
-
-
 class TestCodec:
     """The form of changes."""
 
--- a/packages/godwitway/tests/steering/test_groups.py
+++ b/packages/godwitway/tests/steering/test_groups.py
@@ -1,6 +1,5 @@
 """Tests of how a large zone's hosts divide themselves and its targets."""
 
-import random
 from collections import Counter
 
 import pytest
@@ -11,11 +10,11 @@
     SteeringWorld,
     build_difference,
     build_packet,
+    build_peers,
     build_report,
     build_target,
 )
 
-from godwitway.metrics import Metrics
 from godwitway.steering._groups import GROUP_MAX, ZoneGroups
 from godwitway.steering._loads import decode_report, encode_report, zone_code
 from godwitway.steering._peers import REFRESH_TICKS, Member, Peers
@@ -122,13 +121,11 @@
         world = SteeringWorld(*(build_target(target + 1) for target in range(targets)))
         world.clock = self.clock
         world.steering.now = self.clock.now
-        peers = Peers(
-            Member(f"host-{number}", "a", own),
+        peers = build_peers(
             world.steering,
+            Member(f"host-{number}", "a", own),
             lambda: (1, self.revisions.get(own, 1)),
-            random.Random(number),
-            Metrics(),
-            world.steering.journal,
+            number,
         )
         world.steering.peer_loads = peers.totals
         world.steering.groups = peers.groups
--- a/packages/godwitway/tests/steering/test_loads.py
+++ b/packages/godwitway/tests/steering/test_loads.py
@@ -1,13 +1,10 @@
 """Tests of the reports between hosts."""
 
-import random
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from steering_builders import SteeringWorld, build_report, build_target
+from steering_builders import SteeringWorld, build_peers, build_report, build_target
 
-from godwitway.metrics import Metrics
 from godwitway.steering._loads import HEAD_BYTES, decode_report, encode_report, zone_code
 from godwitway.steering._peers import Member, Peers
 
@@ -19,16 +16,9 @@
 )
 
 
-def build_peers(world: SteeringWorld, sent: list) -> Peers:
-    """Return the peers of a world's host."""
-    peers = Peers(
-        Member("host-1", "a", ("10.1.0.1", 7)),
-        world.steering,
-        lambda: (3, 40),
-        random.Random(1),
-        Metrics(),
-        world.steering.journal,
-    )
+def recording_peers(world: SteeringWorld, sent: list) -> Peers:
+    """Return the peers of a world's host, which record what they send."""
+    peers = build_peers(world.steering)
     peers.send = lambda datagram, address: sent.append((datagram, address))
     return peers
 
@@ -78,7 +68,7 @@
     def test_loads_of_live_peers_count(self):
         """A silent peer's loads are forgotten."""
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, [])
+        peers = recording_peers(world, [])
         token = world.steering.catalog.targets["i-0001"].token
         peers.take(datagram(loads=[(token, 4, 2, False)]), ("10.1.0.2", 7))
         target = world.steering.catalog.targets["i-0001"]
@@ -90,7 +80,7 @@
     def test_a_restarted_peer_starts_anew(self):
         """Loads of its earlier process do not stay."""
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, [])
+        peers = recording_peers(world, [])
         token = world.steering.catalog.targets["i-0001"].token
         peers.take(datagram(loads=[(token, 4, 2, False)]), ("10.1.0.2", 7))
         peers.take(datagram(boot=10), ("10.1.0.2", 7))
@@ -99,7 +89,7 @@
     def test_suspicions_are_believed_within_a_zone_only(self):
         """A host in another zone has other paths."""
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, [])
+        peers = recording_peers(world, [])
         target = world.steering.catalog.targets["i-0001"]
         peers.take(
             datagram(zone=zone_code("b"), loads=[(target.token, 1, 1, True)]), ("10.2.0.2", 7)
@@ -112,7 +102,7 @@
         """A host that has just started learns of them within half a second."""
         sent = []
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, sent)
+        peers = recording_peers(world, sent)
         register(peers, Member("host-2", "a", ("10.1.0.2", 7)))
         target = world.steering.catalog.targets["i-0001"]
         world.steering.evidence_of(target).suspect(world.clock.now())
@@ -124,7 +114,7 @@
         """A lost datagram is made up for by the next one."""
         sent = []
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, sent)
+        peers = recording_peers(world, sent)
         register(peers, Member("host-2", "a", ("10.1.0.2", 7)))
         world.take(flow=b"flow-1", opening=True)
         peers.report()
@@ -136,7 +126,7 @@
         """Control traffic grows with a zone, not with the fleet."""
         sent = []
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, sent)
+        peers = recording_peers(world, sent)
         for index, zone in enumerate("abc"):
             for number in range(2, 12):
                 address = (f"10.{index}.0.{number}", 7)
@@ -148,7 +138,7 @@
     def test_its_own_reports_are_ignored(self):
         """A datagram may come back."""
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, [])
+        peers = recording_peers(world, [])
         peers.take(datagram(boot=peers.boot), ("10.1.0.9", 7))
         assert not peers.by_address
 
@@ -156,7 +146,7 @@
     def test_unreadable_members_are_left_out(self, value):
         """Other keys hold."""
         world = SteeringWorld(build_target(1))
-        peers = build_peers(world, [])
+        peers = recording_peers(world, [])
         peers.member_changed("hosts/a/host-2", value, 1)
         register(peers, Member("host-3", "a", ("10.1.0.3", 7)))
         assert list(peers.by_address) == [("10.1.0.3", 7)]
--- a/packages/godwitway/tests/steering/test_rotation.py
+++ b/packages/godwitway/tests/steering/test_rotation.py
@@ -1,12 +1,8 @@
 """Tests of when a host asks for packets."""
 
-import random
+from steering_builders import SteeringWorld, build_peers, build_report, build_target
 
-from steering_builders import SteeringWorld, build_report, build_target
-
-from godwitway.metrics import Metrics
 from godwitway.steering._loads import encode_report, zone_code
-from godwitway.steering._peers import Member, Peers
 from godwitway.steering._rotation import Rotation
 
 
@@ -17,14 +13,7 @@
         targets = [build_target(n) for n in range(1, near + 1)]
         targets += [build_target(n, zone="b") for n in range(101, 101 + far)]
         self.world = SteeringWorld(*targets)
-        self.peers = Peers(
-            Member("host-1", "a", ("10.1.0.1", 7)),
-            self.world.steering,
-            lambda: (1, 1),
-            random.Random(1),
-            Metrics(),
-            self.world.steering.journal,
-        )
+        self.peers = build_peers(self.world.steering, versions=lambda: (1, 1))
         self.rotation = Rotation(self.world.steering, self.peers)
 
     def demand(self, requests: int) -> None:
--- a/packages/godwitway/tests/steering/test_watchers.py
+++ b/packages/godwitway/tests/steering/test_watchers.py
@@ -2,8 +2,8 @@
 
 import itertools
 
-from godwitway.steering._loads import PeerLoads
-from godwitway.steering._watchers import PEER_FRESH_S, is_among_first
+from godwitway.steering._loads import PEER_FRESH_S, PeerLoads
+from godwitway.steering._watchers import is_among_first
 
 NOW = 50.0
 
--- a/packages/godwitway/tests/steering_builders.py
+++ b/packages/godwitway/tests/steering_builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for steering: targets, routes, packets and a host with recording ports."""
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from godwitway.journal import Journal
@@ -17,6 +18,7 @@
 from godwitway.steering._catalog import Catalog
 from godwitway.steering._core import SteeringCore
 from godwitway.steering._loads import Report, zone_code
+from godwitway.steering._peers import Member, Peers
 from godwitway.steering._replica import Difference, Replica
 from godwitway.steering._settings import SteeringSettings
 from godwitway.store import KeyValue
@@ -145,9 +147,9 @@
     return SteeringCore(settings, JsonFormats(), RecordingPort(), list, clock.now), clock
 
 
-def build_difference() -> Difference:
-    """Return a change of one key."""
-    return Difference(40, 41, False, [KeyValue("k/a", b"1", 41)], [])
+def build_difference(size: int = 3, full: bool = False) -> Difference:
+    """Return a difference with one item and one deletion."""
+    return Difference(4, 9, full, [KeyValue("k/a", b"x" * size, 8)], [("k/b", 9)])
 
 
 class SteeringWorld:
@@ -199,3 +201,20 @@
     def events(self, name: str) -> list[dict[str, Any]]:
         """Return the log lines of one event."""
         return [line for line in self.lines if line["event"] == name]
+
+
+def build_peers(
+    steering: Steering,
+    own: Member | None = None,
+    versions: Callable[[], tuple[int, int]] = lambda: (3, 40),
+    seed: int = 1,
+) -> Peers:
+    """Return the peers of a host, `host-1` of zone a unless another one is given."""
+    return Peers(
+        own or Member("host-1", "a", ("10.1.0.1", 7)),
+        steering,
+        versions,
+        random.Random(seed),
+        Metrics(),
+        steering.journal,
+    )
