Log each listing of the store and whether it was applied

The logs of the incident could not tell whether hosts ignored the store's listing, ignored the configuration in it, or watched in vain: a listing left no line, and one that is older than the replica was dropped silently.

--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -14,6 +14,7 @@
 from godwitway.metrics import Metrics
 from godwitway.steering._announcements import Announcements
 from godwitway.steering._catalog import Catalog
+from godwitway.steering._listing import apply_listing
 from godwitway.steering._model import FleetConfig, FlowPacket, Target
 from godwitway.steering._peers import HOSTS_PREFIX, Member, Peers
 from godwitway.steering._replica import Replica
@@ -180,7 +181,7 @@
         """
         if not any(item.key == self.formats.config_key for item in listing.items):
             self.journal.event("no_configuration", revision=listing.revision)
-        self.replica.apply_listing(listing.items, listing.revision)
+        apply_listing(self.replica, listing, self.metrics, self.journal)
         return self.start_serving()
 
     def start_serving(self) -> bool:
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -6,6 +6,7 @@
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
+from godwitway.steering._listing import apply_listing
 from godwitway.steering._replica import Difference, Replica
 from godwitway.store import CompactedError, SteeringStore, StoreError
 
@@ -128,7 +129,7 @@
         """
         if self.needs_listing or not self.replica.has_listing:
             listing = await self.store.range("")
-            self.replica.apply_listing(listing.items, listing.revision)
+            apply_listing(self.replica, listing, self.metrics, self.journal)
             self.replica.advertise_deletions()
             self.needs_listing = False
             return True
