--- a/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
@@ -9,10 +9,11 @@
 
 from aiohttp import web
 
-__all__ = ["Item", "MetadataServer", "StoreFaults"]
+__all__ = ["Item", "MetadataServer", "StoreCopy", "StoreFaults"]
 
 HISTORY = 2_000
 PAGE_ITEMS = 500
+ERA_HEADER = "Store-Era"
 FOREVER_S = 3_600.0
 CLOSE_S = 0.1
 
@@ -56,17 +57,30 @@
     lose_writes: bool = False
 
 
+@dataclass(slots=True)
+class StoreCopy:
+    """The content of the store at one moment, from which it can be restored."""
+
+    items: dict[str, Item]
+    revision: int
+    history: list[tuple[int, str, Item | None]]
+    floor: int
+    leases: dict[int, tuple[float, float]]
+
+
 class MetadataServer:
     """A store of keys with revisions, leases and watches over HTTP.
 
     Attributes:
         faults: What is wrong with it.
         calls: How often each call was made.
+        era: How often the store was restored from a copy, from 1; each answer names it.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 1
+        self.era = 1
         self.history: deque[tuple[int, str, Item | None]] = deque(maxlen=HISTORY)
         self.floor = 1
         self.leases: dict[int, tuple[float, float]] = {}
@@ -107,11 +121,12 @@
             await self.fail(request)
             self.end_leases()
             status, body = await call(request)
+            headers = {ERA_HEADER: str(self.era)}
             await self.fail(request)
             await asyncio.sleep(self.faults.delay_s)
             if self.faults.lose_writes and request.method == "POST":
                 await asyncio.sleep(FOREVER_S)
-            return web.json_response(body, status=status)
+            return web.json_response(body, status=status, headers=headers)
 
         return handler
 
@@ -121,7 +136,7 @@
         if not faults.down or (faults.refused and request.remote not in faults.refused):
             return
         if faults.down == "busy":
-            raise web.HTTPServiceUnavailable
+            raise web.HTTPServiceUnavailable(headers={ERA_HEADER: str(self.era)})
         if faults.down == "reset" and request.transport is not None:
             request.transport.abort()
         await asyncio.sleep(FOREVER_S)
@@ -157,6 +172,23 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        return StoreCopy(
+            dict(self.items), self.revision, list(self.history), self.floor, dict(self.leases)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose everything that was written since a copy, and begin the next era."""
+        self.era += 1
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.history = deque(copy.history, maxlen=HISTORY)
+        self.floor = copy.floor
+        self.leases = dict(copy.leases)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def end_leases(self) -> None:
         """Remove the keys of leases that have ended."""
         now = asyncio.get_running_loop().time()
@@ -189,7 +221,7 @@
         prefix, after = request.query["prefix"], int(request.query["after"])
         deadline = asyncio.get_running_loop().time() + int(request.query["wait-ms"]) / 1000
         while True:
-            if after < self.floor:
+            if not self.floor <= after <= self.revision:
                 return 410, {}
             events = [
                 item.as_json() if item else {"key": key, "revision": revision, "deleted": True}
