--- a/packages/godwitway-standins/tests/test_metadata_store.py
+++ b/packages/godwitway-standins/tests/test_metadata_store.py
@@ -72,7 +72,7 @@
             changes = await waiting
             assert [(event.key, event.value) for event in changes.events] == [("servers/i-1", b"x")]
             server.delete("servers/i-1")
-            changes = await client.changes("servers/", changes.revision, 5.0)
+            changes = await client.changes("servers/", changes.position.revision, 5.0)
             assert changes.events[0].value is None
 
         play(scenario)
@@ -96,10 +96,10 @@
         """It has no lease; the answer has the revision of the write."""
 
         async def scenario(server, client):
-            revision = await client.put(KeyValue("hosts/a/x", b"1", 0))
+            position = await client.put(KeyValue("hosts/a/x", b"1", 0))
             assert server.items["hosts/a/x"].lease == 0
             (item,) = (await client.range("hosts/")).items
-            assert (item.value, item.mod_revision) == (b"1", revision)
+            assert (item.value, item.mod_revision) == (b"1", position.revision)
             assert await client.remove([item])
             assert not (await client.range("hosts/")).items
 
--- a/packages/godwitway/src/godwitway/steering/_changes.py
+++ b/packages/godwitway/src/godwitway/steering/_changes.py
@@ -8,15 +8,16 @@
 import zlib
 
 from godwitway.steering._replica import Difference
-from godwitway.store import KeyValue
+from godwitway.store import KeyValue, StorePosition
 
 __all__ = ["decode_difference", "decode_push", "encode_difference", "encode_push"]
 
-PUSH_MAGIC = b"gwC2"
+PUSH_MAGIC = b"gwC3"
 MAX_PUSH_BYTES = 1_200  # Fits into one packet; hosts fetch larger changes.
 COMPRESSION_LEVEL = 1  # 2 ms for a quarter of a megabyte; higher levels cost more than they save.
 MAX_DECODED_BYTES = 16_777_216  # A listing with 60,000 targets; bounds what a datagram can cost.
 MAX_REVISION = (1 << 63) - 1  # Reports carry revisions in 64 bits.
+MAX_ERA = (1 << 32) - 1  # Reports carry eras in 32 bits.
 BYTES_ENCODING = "latin-1"  # Maps every byte to one character, and leaves ASCII text readable.
 
 
@@ -52,8 +53,8 @@
     ]
     document = json.dumps(
         {
-            "base": difference.base_revision,
-            "revision": difference.revision,
+            "base": difference.base,
+            "position": difference.position,
             "full": difference.is_full,
             "items": items,
             "deleted": difference.deleted,
@@ -85,16 +86,31 @@
             for key, value, revision in document["items"]
         ]
         deleted = [(str(key), check_revision(revision)) for key, revision in document["deleted"]]
-        base_revision = check_revision(document["base"])
-        revision = check_revision(document["revision"])
-        unchanged_keys = [str(key) for key in document["kept"]]
         return Difference(
-            base_revision, revision, bool(document["full"]), items, deleted, unchanged_keys
+            decode_position(document["base"]),
+            decode_position(document["position"]),
+            bool(document["full"]),
+            items,
+            deleted,
+            [str(key) for key in document["kept"]],
         )
     except (KeyError, TypeError, AttributeError, RecursionError, zlib.error) as error:
         raise ValueError(f"not a list of changes: {error!r}") from error
 
 
+def decode_position(value: list[object]) -> StorePosition:
+    """Return a position of the store from its era and revision.
+
+    Raises:
+        TypeError: The value is not a list.
+        ValueError: It has not two numbers in their ranges.
+    """
+    era, revision = value
+    if not isinstance(era, int) or not 0 <= era <= MAX_ERA:
+        raise ValueError(f"not an era: {era!r:.40}")
+    return StorePosition(era, check_revision(revision))
+
+
 def check_revision(value: object) -> int:
     """Return a revision of the store; raises ValueError unless it is an integer in its range."""
     if not isinstance(value, int) or not 0 <= value <= MAX_REVISION:
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -21,7 +21,7 @@
 from godwitway.steering._rotation import Rotation
 from godwitway.steering._settings import SteeringSettings
 from godwitway.steering._steering import PacketIO, Steering
-from godwitway.store import RangeResult
+from godwitway.store import RangeResult, StorePosition
 
 __all__ = ["Formats", "SteeringCore"]
 
@@ -110,6 +110,7 @@
         )
         self.announcements.on_target_restart = self.discard_target_evidence
         self.replica = Replica((formats.config_key, formats.targets_prefix), self.apply_key_change)
+        self.replica.on_restore = self.handle_restored_store
         self.formats = formats
         self.steering = Steering(
             packet_io, self.catalog, settings.zone, now, self.rng, self.metrics, self.journal
@@ -153,6 +154,11 @@
         except Exception as error:
             self.record_internal_error("entry_failed", error, key=key, revision=revision)
 
+    def handle_restored_store(self, position: StorePosition) -> None:
+        """Count and log that the store was restored from a copy and has lost changes."""
+        self.metrics.count("store_restores")
+        self.journal.event("store_restored", era=position.era, revision=position.revision)
+
     def record_internal_error(self, event: str, error: Exception, **fields: Any) -> None:
         """Count and log an unexpected error.
 
@@ -210,11 +216,11 @@
             self.steering.is_ready and not self.is_leaving and not self.rotation.yield_reason
         )
 
-    def get_reported_versions(self) -> tuple[int, int]:
-        """Return the configuration's version, 0 without one, and the advertised revision."""
+    def get_reported_versions(self) -> tuple[int, StorePosition]:
+        """Return the configuration's version, 0 without one, and the advertised position."""
         return (
             self.catalog.config.version if self.catalog.config else 0,
-            self.replica.advertised_revision,
+            self.replica.advertised_position,
         )
 
     def watches_store(self) -> bool:
@@ -270,7 +276,8 @@
                 "version": self.catalog.config.version if self.catalog.config else None,
                 "routes": len(self.catalog.routes),
             },
-            "revision": self.replica.revision,
+            "era": self.replica.position.era,
+            "revision": self.replica.position.revision,
             "watches": self.watches_store(),
             "reaches_store": self.peers.reaches_store,
             "flows": len(self.steering.flow_table.flows),
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -8,7 +8,7 @@
 from godwitway.metrics import Metrics
 from godwitway.steering._listing import apply_listing
 from godwitway.steering._replica import Difference, Replica
-from godwitway.store import CompactedError, SteeringStore, StoreError
+from godwitway.store import Changes, CompactedError, SteeringStore, StoreError, StorePosition
 
 __all__ = ["StoreFeed"]
 
@@ -90,7 +90,7 @@
                 has_changes = await self.poll_store()
             except CompactedError:
                 self.metrics.count("store_compactions")
-                self.journal.event("history_lost", revision=self.replica.revision)
+                self.journal.event("history_lost", revision=self.replica.position.revision)
                 self.needs_listing = True
                 continue
             except StoreError as error:
@@ -124,7 +124,8 @@
             `restart_watch`.
 
         Raises:
-            CompactedError: The store no longer has the changes after the replica's revision.
+            CompactedError: The store no longer has the changes after the replica's revision, or
+                was restored since.
             StoreError: The store gave no usable answer.
         """
         if self.needs_listing or not self.replica.has_listing:
@@ -134,7 +135,8 @@
             self.needs_listing = False
             return True
         self.wake_event.clear()
-        call = asyncio.ensure_future(self.store.changes("", self.replica.revision, WATCH_WAIT_S))
+        base = self.replica.position
+        call = asyncio.ensure_future(self.store.changes("", base.revision, WATCH_WAIT_S))
         waking = asyncio.ensure_future(self.wake_event.wait())
         try:
             await asyncio.wait([call, waking], return_when=asyncio.FIRST_COMPLETED)
@@ -144,11 +146,30 @@
                 call.cancel()
         if not call.done():
             return False
-        changes = call.result()
-        revision_before = self.replica.revision
-        self.replica.apply_events(changes.events, changes.revision)
+        return self.apply_changes(base, call.result())
+
+    def apply_changes(self, base: StorePosition, changes: Changes) -> bool:
+        """Apply the answer to a watch, and pass the changes on if this host is elected.
+
+        Args:
+            base: The replica's position when the watch began.
+            changes: The answer.
+
+        Returns:
+            Whether there were changes.
+
+        Raises:
+            CompactedError: The store was restored since the watch began.
+            StoreError: The answer is from before a restore that this host knows of.
+        """
+        era, position_before = changes.position.era, self.replica.position
+        if era > position_before.era:
+            raise CompactedError(f"the store has begun era {era}")
+        # Changes after a revision of another era are not those that the replica lacks.
+        if era != base.era or not self.replica.apply_events(changes.events, changes.position):
+            raise StoreError(f"a watch from era {base.era} was answered in era {era}")
         if changes.events and self.is_watching:
-            self.on_changes(self.replica.difference_since(revision_before))
+            self.on_changes(self.replica.difference_since(position_before))
         return bool(changes.events)
 
     def record_failure(self, reason: str) -> None:
@@ -167,4 +188,4 @@
         self.on_store_call(True)
         if not self.is_connected:
             self.is_connected = True
-            self.journal.event("store_regained", revision=self.replica.revision)
+            self.journal.event("store_regained", revision=self.replica.position.revision)
--- a/packages/godwitway/src/godwitway/steering/_listing.py
+++ b/packages/godwitway/src/godwitway/steering/_listing.py
@@ -16,13 +16,15 @@
     Returns:
         False if the listing is older than the replica and was ignored.
     """
-    replica_revision = replica.revision
-    was_applied = replica.apply_listing(listing.items, listing.revision)
+    replica_position = replica.position
+    was_applied = replica.apply_listing(listing.items, listing.position)
     metrics.count("listings", "applied" if was_applied else "ignored")
     journal.event(
         "listed",
         applied=was_applied,
+        era=listing.era,
         revision=listing.revision,
-        replica_revision=replica_revision,
+        replica_era=replica_position.era,
+        replica_revision=replica_position.revision,
     )
     return was_applied
--- a/packages/godwitway/src/godwitway/steering/_loads.py
+++ b/packages/godwitway/src/godwitway/steering/_loads.py
@@ -13,6 +13,7 @@
 
 from godwitway.addresses import Address
 from godwitway.steering._groups import rank_of
+from godwitway.store import FIRST_POSITION, StorePosition
 
 __all__ = [
     "HEADER_BYTES",
@@ -24,9 +25,9 @@
     "hash_zone",
 ]
 
-MAGIC = 0x67774C32  # ASCII "gwL2".
-# Magic number, boot id, zone hash, configuration version, advertised revision, flags.
-HEADER = struct.Struct("<IIIQQB")
+MAGIC = 0x67774C33  # ASCII "gwL3".
+# Magic number, boot id, zone hash, configuration version, advertised era and revision, flags.
+HEADER = struct.Struct("<IIIQIQB")
 ENTRY = struct.Struct("<IHBB")  # Route token, requests in progress, idle flows, flags.
 HEADER_BYTES = HEADER.size
 MAX_ENTRIES = 140  # Keeps a report within one packet of 1,200 bytes.
@@ -55,7 +56,7 @@
         boot_id: A random number that identifies the sender's process.
         zone_hash: The hash of the sender's zone; see `hash_zone`.
         config_version: The version of the configuration that is in force at the sender.
-        advertised_revision: The store revision of the latest change that receivers should fetch.
+        advertised_position: The store position of the latest change that receivers should fetch.
         in_rotation: Whether the sender answers routers' readiness probes positively.
         zone_short: Whether the sender finds its zone cut off from the others and short of slots.
         reaches_store: Whether the sender's last store call was answered.
@@ -64,7 +65,7 @@
     """
 
     __slots__ = (
-        "advertised_revision",
+        "advertised_position",
         "boot_id",
         "config_version",
         "in_rotation",
@@ -79,7 +80,7 @@
         boot_id: int,
         zone_hash: int,
         config_version: int,
-        advertised_revision: int,
+        advertised_position: StorePosition,
         in_rotation: bool,
         zone_short: bool,
         reaches_store: bool,
@@ -88,7 +89,7 @@
         self.boot_id = boot_id
         self.zone_hash = zone_hash
         self.config_version = config_version
-        self.advertised_revision = advertised_revision
+        self.advertised_position = advertised_position
         self.in_rotation = in_rotation
         self.zone_short = zone_short
         self.reaches_store = reaches_store
@@ -105,7 +106,7 @@
         report.boot_id,
         report.zone_hash,
         report.config_version,
-        report.advertised_revision,
+        *report.advertised_position,
         IN_ROTATION_FLAG * report.in_rotation
         | ZONE_SHORT_FLAG * report.zone_short
         | REACHES_STORE_FLAG * report.reaches_store,
@@ -124,7 +125,7 @@
     """Return the report in a datagram, or None if its length or its magic number is wrong."""
     if len(datagram) < HEADER_BYTES or (len(datagram) - HEADER_BYTES) % ENTRY.size:
         return None
-    magic, boot_id, zone_hash, version, advertised_revision, flags = HEADER.unpack_from(datagram)
+    magic, boot_id, zone_hash, version, era, revision, flags = HEADER.unpack_from(datagram)
     if magic != MAGIC:
         return None
     loads = [
@@ -135,7 +136,7 @@
         boot_id,
         zone_hash,
         version,
-        advertised_revision,
+        StorePosition(era, revision),
         bool(flags & IN_ROTATION_FLAG),
         bool(flags & ZONE_SHORT_FLAG),
         bool(flags & REACHES_STORE_FLAG),
@@ -156,7 +157,7 @@
         loads: Requests in progress and idle flows by route token; tokens without load are left
             out.
         config_version: The version of the configuration that is in force at the peer.
-        advertised_revision: The store revision of the latest change that this host should fetch.
+        advertised_position: The store position of the latest change that this host should fetch.
         zone_hash: The hash of the peer's zone; None until a report or the store has named it.
         in_rotation: Whether the peer answers routers' readiness probes positively.
         zone_short: Whether the peer finds its zone cut off from the others and short of slots.
@@ -165,7 +166,7 @@
 
     __slots__ = (
         "address",
-        "advertised_revision",
+        "advertised_position",
         "boot_id",
         "config_version",
         "in_rotation",
@@ -188,7 +189,7 @@
         self.last_report_at: float | None = None
         self.loads: dict[int, tuple[int, int]] = {}
         self.config_version = 0
-        self.advertised_revision = 0
+        self.advertised_position = FIRST_POSITION
         self.reaches_store = False
         self.zone_hash: int | None = None
         self.in_rotation = False
--- a/packages/godwitway/src/godwitway/steering/_membership.py
+++ b/packages/godwitway/src/godwitway/steering/_membership.py
@@ -7,7 +7,7 @@
 from godwitway.metrics import Metrics
 from godwitway.steering._peers import REPORT_INTERVAL_S, Member, Peers
 from godwitway.steering._replica import Replica
-from godwitway.store import SteeringStore, StoreError
+from godwitway.store import FIRST_POSITION, SteeringStore, StoreError
 
 __all__ = ["Registration", "report_periodically"]
 
@@ -36,7 +36,7 @@
         replica: This host's replica of the store.
         peers: The other hosts.
         on_store_call: Called after each call with whether the store answered.
-        written_revision: The store's revision after this process last wrote the key; 0 before.
+        written_position: The store's position after this process last wrote the key.
     """
 
     def __init__(
@@ -56,27 +56,27 @@
         self.on_store_call = on_store_call
         self.journal = journal
         self.metrics = metrics
-        self.written_revision = 0
+        self.written_position = FIRST_POSITION
 
     def is_needed(self) -> bool:
         """Whether the replica shows that the store lacks this host's key or has another value.
 
-        A replica that has not reached the revision of this process's last write shows nothing.
+        A replica that has not reached the position of this process's last write shows nothing.
         """
         current = self.replica.items.get(self.item.key)
         if current is not None and current.value == self.item.value:
             return False
-        return not self.written_revision or self.replica.revision >= self.written_revision
+        return self.replica.position >= self.written_position
 
     async def register(self) -> bool:
         """Write this host's key; returns False, after logging it, if the store did not answer."""
         try:
-            self.written_revision = await self.store.put(self.item)
+            self.written_position = await self.store.put(self.item)
         except StoreError as error:
             self.record_failure("register", error)
             return False
         self.on_store_call(True)
-        self.journal.event("registered", revision=self.written_revision)
+        self.journal.event("registered", revision=self.written_position.revision)
         return True
 
     async def remove_dead_hosts(self) -> bool:
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -18,7 +18,7 @@
 from godwitway.steering._membership import Registration, report_periodically
 from godwitway.steering._probes import ConnectProbe, HealthProbe, HealthProber
 from godwitway.steering._settings import SteeringSettings
-from godwitway.store import SteeringStore, StoreError
+from godwitway.store import FIRST_POSITION, SteeringStore, StoreError, StorePosition
 
 __all__ = ["PlatformConnections", "SteeringNode"]
 
@@ -44,6 +44,18 @@
 STOP_POLL_S = 0.1  # `REPORT_INTERVAL_S` in `_peers`, the shortest interval between reports.
 
 
+def parse_position(text: str) -> StorePosition | None:
+    """Return the position with era and revision separated by a slash, or None if malformed.
+
+    >>> parse_position("2/17")
+    StorePosition(era=2, revision=17)
+    """
+    era, _, revision = text.partition("/")
+    if not (era.isdecimal() and revision.isdecimal()):
+        return None
+    return StorePosition(int(era), int(revision))
+
+
 class PlatformConnections(Protocol):
     """The connections to the platform that its adapter provides.
 
@@ -86,8 +98,8 @@
         feed: Follows the store over a connection of its own.
         registration: Keeps this host's key in the store, over the connection of `store`.
         prober: Probes targets.
-        encoded_differences: Encoded differences for other hosts, by their base revision.
-        encoded_revision: The revision that the encoded differences lead to.
+        encoded_differences: Encoded differences for other hosts, by their base.
+        encoded_position: The position that the encoded differences lead to.
     """
 
     def __init__(self, core: SteeringCore, connections: PlatformConnections) -> None:
@@ -99,8 +111,8 @@
         self.is_stopping = False
         self.stopped = asyncio.Event()
         self.is_catching_up = False
-        self.encoded_differences: dict[int, bytes] = {}
-        self.encoded_revision = 0
+        self.encoded_differences: dict[StorePosition, bytes] = {}
+        self.encoded_position = FIRST_POSITION
         self.replica = core.replica
         self.store = connections.create_store(core.settings, core.metrics)
         self.feed = StoreFeed(
@@ -262,7 +274,8 @@
             False if the request failed, or if there is no configuration after it.
         """
         connection = HttpConnection(address, FETCH_TIMEOUT_S)
-        path = f"{CHANGES_PATH}{self.replica.revision if self.replica.has_listing else 0}"
+        base = self.replica.position if self.replica.has_listing else FIRST_POSITION
+        path = f"{CHANGES_PATH}{base.era}/{base.revision}"
         try:
             response = await connection.request("GET", path, b"", FETCH_TIMEOUT_S)
             if response.status != 200:
@@ -279,7 +292,7 @@
                 "changes_taken",
                 peer=format_address(address),
                 full=difference.is_full,
-                revision=self.replica.revision,
+                revision=self.replica.position.revision,
             )
         return self.core.catalog.config is not None
 
@@ -288,8 +301,8 @@
         self.core.peers.reaches_store = answered
 
     def compare_revisions(self, peer: PeerState) -> None:
-        """Start catching up if a peer advertises a revision that this host has not reached."""
-        if peer.advertised_revision > self.replica.revision and not self.is_catching_up:
+        """Start catching up if a peer advertises a position that this host has not reached."""
+        if peer.advertised_position > self.replica.position and not self.is_catching_up:
             self.is_catching_up = True
             self.spawn(self.catch_up())
 
@@ -305,7 +318,7 @@
             ahead = [
                 peer
                 for peer in peers.by_address.values()
-                if peer.advertised_revision > self.replica.revision and peer.is_alive(now)
+                if peer.advertised_position > self.replica.position and peer.is_alive(now)
             ]
             if not ahead:
                 return
@@ -357,30 +370,28 @@
     async def handle_control(self, request: HttpRequest) -> tuple[int, bytes, str]:
         """Serve store changes to other hosts, the metrics and the state dump."""
         if request.path.startswith(CHANGES_PATH) and self.core.catalog.config is not None:
-            revision = request.path.removeprefix(CHANGES_PATH)
-            if revision.isdecimal():
-                return 200, self.changes_since(int(revision)), "application/octet-stream"
+            base = parse_position(request.path.removeprefix(CHANGES_PATH))
+            if base is not None:
+                return 200, self.changes_since(base), "application/octet-stream"
         if request.path == "/metrics":
             return await self.handle_metrics(request)
         if request.path == "/state":
             return 200, json.dumps(self.core.state_as_json()).encode(), "application/json"
         return 404, b"{}", "application/json"
 
-    def changes_since(self, revision: int) -> bytes:
-        """Return the encoded difference from a revision to the replica's.
+    def changes_since(self, base: StorePosition) -> bytes:
+        """Return the encoded difference from a position to the replica's.
 
-        It is cached for other hosts with the same revision, until the replica changes.
+        It is cached for other hosts with the same position, until the replica changes.
         """
-        if self.encoded_revision != self.replica.revision:
-            self.encoded_revision = self.replica.revision
+        if self.encoded_position != self.replica.position:
+            self.encoded_position = self.replica.position
             self.encoded_differences.clear()
-        if revision not in self.encoded_differences:
-            self.encoded_differences[revision] = encode_difference(
-                self.replica.difference_since(revision)
-            )
+        if base not in self.encoded_differences:
+            self.encoded_differences[base] = encode_difference(self.replica.difference_since(base))
             if len(self.encoded_differences) > MAX_CACHED_DIFFERENCES:
                 del self.encoded_differences[next(iter(self.encoded_differences))]
-        return self.encoded_differences[revision]
+        return self.encoded_differences[base]
 
     def reload(self, settings: SteeringSettings | None) -> None:
         """Apply changed seeds and stop bound, and log the changed settings that need a restart.
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -20,7 +20,7 @@
 from godwitway.steering._replica import Difference
 from godwitway.steering._steering import Steering
 from godwitway.steering._watchers import is_elected
-from godwitway.store import KeyValue
+from godwitway.store import KeyValue, StorePosition
 
 __all__ = ["HOSTS_PREFIX", "REPORT_INTERVAL_S", "Member", "Peers"]
 
@@ -92,7 +92,7 @@
         on_report: Called with a peer after its report was applied.
         on_push: Called with store changes that a peer pushed; returns whether they were applied.
         get_reported_versions: Returns the version of the configuration in force, 0 without one, and
-            this host's advertised revision.
+            this host's advertised position.
         in_rotation: Whether this host answers routers' readiness probes positively.
         zone_short: Whether this host finds its zone cut off from the others and short of slots.
         reaches_store: Whether this host's last store call was answered.
@@ -105,7 +105,7 @@
         self,
         own_member: Member,
         steering: Steering,
-        get_reported_versions: Callable[[], tuple[int, int]],
+        get_reported_versions: Callable[[], tuple[int, StorePosition]],
         rng: random.Random,
         metrics: Metrics,
         journal: Journal,
@@ -313,7 +313,7 @@
             target_ids |= flow_table.loads.keys() | self.suspected_targets()
         if not target_ids and not is_full:
             return
-        config_version, advertised_revision = self.get_reported_versions()
+        config_version, advertised_position = self.get_reported_versions()
         loads = [
             entry for target_id in target_ids if (entry := self.load_entry(target_id)) is not None
         ]
@@ -321,7 +321,7 @@
             self.boot_id,
             self.zone_hash,
             config_version,
-            advertised_revision,
+            advertised_position,
             self.in_rotation,
             self.zone_short,
             self.reaches_store,
@@ -344,7 +344,7 @@
     def push_changes(self, difference: Difference) -> None:
         """Send store changes to the other hosts if they fit into a datagram.
 
-        Hosts that miss them see the newer revision in the next reports and fetch the changes.
+        Hosts that miss them see the later position in the next reports and fetch the changes.
         """
         datagram = encode_push(difference)
         if datagram is not None:
@@ -444,7 +444,7 @@
             self.journal.event("peer_heard", peer=format_address(source), boot=report.boot_id)
         peer.last_report_at = now
         peer.config_version = report.config_version
-        peer.advertised_revision = report.advertised_revision
+        peer.advertised_position = report.advertised_position
         peer.reaches_store = report.reaches_store
         if peer.zone_hash != report.zone_hash:
             peer.zone_hash = report.zone_hash
--- a/packages/godwitway/src/godwitway/steering/_replica.py
+++ b/packages/godwitway/src/godwitway/steering/_replica.py
@@ -3,74 +3,85 @@
 from collections import deque
 from collections.abc import Callable
 
-from godwitway.store import KeyValue, WatchEvent
+from godwitway.store import FIRST_POSITION, KeyValue, StorePosition, WatchEvent
 
 __all__ = ["Difference", "Replica"]
 
 MAX_DELETIONS = 1_024  # Bounds the memory; replicas from before them get a full difference.
 
+UNKNOWN_REVISION = 0  # Of an item that was not written in the current era as far as is known.
+
 OnChange = Callable[[str, bytes | None, int], None]
 
 
 class Difference:
-    """The changes that bring an older replica to a newer revision.
+    """The changes that bring an older replica to a newer position.
 
     Attributes:
-        base_revision: The revision that the receiving replica must have reached; 0 if it may be
-            empty.
-        revision: The store revision that the receiver has after it applied the difference.
+        base: The position of the replica that the difference was made for. It may be applied at
+            any replica of the same era that has reached this position.
+        position: The store position that the receiver has after it applied the difference.
         is_full: Whether `items` and `unchanged_keys` together name every key of the store. If
-            not, `items` and `deleted` are only what changed after the base revision.
-        items: The keys that changed after the base revision, with values.
+            not, `items` and `deleted` are only what changed after `base`.
+        items: The keys that changed after `base`, with values; all keys if the era has changed.
         deleted: Deleted keys with the revisions of their deletion; empty in a full difference.
         unchanged_keys: The keys of a full difference that the receiver already has with their
             current value.
     """
 
-    __slots__ = ("base_revision", "deleted", "is_full", "items", "revision", "unchanged_keys")
+    __slots__ = ("base", "deleted", "is_full", "items", "position", "unchanged_keys")
 
     def __init__(
         self,
-        base_revision: int,
-        revision: int,
+        base: StorePosition,
+        position: StorePosition,
         is_full: bool,
         items: list[KeyValue],
         deleted: list[tuple[str, int]],
         unchanged_keys: list[str] | None = None,
     ) -> None:
-        self.base_revision = base_revision
-        self.revision = revision
+        self.base = base
+        self.position = position
         self.is_full = is_full
         self.items = items
         self.deleted = deleted
         self.unchanged_keys = unchanged_keys or []
 
+    def needs_base(self) -> bool:
+        """Whether the difference says nothing about some keys that the receiver already has."""
+        return not self.is_full or bool(self.unchanged_keys)
+
 
 class Replica:
-    """A copy of the store's keys and values at a revision that never decreases.
+    """A copy of the store's keys and values at a position that never decreases.
+
+    The revisions of all items and deletions belong to the era of the position.
 
     Attributes:
-        advertised_prefixes: The prefixes of the keys whose changes raise the advertised revision.
+        advertised_prefixes: The prefixes of the keys whose changes raise the advertised position.
         items: The current items by key.
         has_listing: Whether a listing, that is all keys of the store, was applied. Until then the
-            replica may lack keys and applies only listings and differences from revision 0.
-        revision: The store revision up to which the replica is complete.
-        advertised_revision: The revision of the latest change under the advertised prefixes. This
+            replica may lack keys and applies only listings and complete differences.
+        position: The store position up to which the replica is complete.
+        advertised_position: The position of the latest change under the advertised prefixes. This
             host reports it to the others, and those whose replica is older fetch the changes.
         on_change: Called with the key, value (None after a deletion) and revision of each change.
+        on_restore: Called with the new position after a replica with content has begun another
+            era, before the differing keys are passed to `on_change`.
         deletions: The most recent deletions, as key and revision.
         deletions_floor: The revision after which `deletions` is complete.
     """
 
     __slots__ = (
+        "advertised_position",
         "advertised_prefixes",
-        "advertised_revision",
         "deletions",
         "deletions_floor",
         "has_listing",
         "items",
         "on_change",
-        "revision",
+        "on_restore",
+        "position",
     )
 
     def __init__(self, advertised_prefixes: tuple[str, ...], on_change: OnChange) -> None:
@@ -78,57 +89,92 @@
         self.on_change = on_change
         self.items: dict[str, KeyValue] = {}
         self.has_listing = False
-        self.revision = 0
-        self.advertised_revision = 0
+        self.on_restore: Callable[[StorePosition], None] = lambda position: None
+        self.position = FIRST_POSITION
+        self.advertised_position = FIRST_POSITION
         self.deletions: deque[tuple[str, int]] = deque()
         self.deletions_floor = 0
 
-    def apply_listing(self, items: list[KeyValue], revision: int) -> bool:
+    def apply_listing(self, items: list[KeyValue], position: StorePosition) -> bool:
         """Replace the content by a listing of the store.
 
         Args:
-            items: All keys of the store at the revision.
-            revision: The store revision of the listing.
+            items: All keys of the store at the position.
+            position: The store position of the listing.
 
         Returns:
             False if the listing is older than the replica and was ignored.
         """
-        if revision < self.revision:
+        if position < self.position:
             return False
+        was_restored = self.has_content() and position.era > self.position.era
+        if position.era > self.position.era:
+            self.begin_era(position.era)
+        if was_restored:
+            self.advertised_position = position
+            self.on_restore(position)
         listed = {item.key: item for item in items}
         for key in [key for key in self.items if key not in listed]:
-            self.remove_key(key, revision)
+            self.remove_key(key, position.revision)
         for item in listed.values():
             self.put_item(item)
         # The listing does not say at which revisions keys were deleted before it.
         self.deletions.clear()
-        self.deletions_floor = revision
+        self.deletions_floor = position.revision
         self.has_listing = True
-        self.revision = revision
+        self.position = position
         return True
 
-    def apply_events(self, events: list[WatchEvent], revision: int) -> None:
+    def has_content(self) -> bool:
+        """Whether anything of the store was ever applied."""
+        return self.position > FIRST_POSITION
+
+    def begin_era(self, era: int) -> None:
+        """Drop the revisions of an earlier era, and keep the items to compare their values."""
+        self.position = self.advertised_position = StorePosition(era, 0)
+        self.deletions.clear()
+        self.deletions_floor = 0
+        self.items = {
+            key: KeyValue(key, item.value, UNKNOWN_REVISION) for key, item in self.items.items()
+        }
+
+    def apply_events(self, events: list[WatchEvent], position: StorePosition) -> bool:
         """Apply watch events, and skip those that the replica already includes.
 
         Args:
-            events: All changes after the replica's revision, in the order of their revisions.
-            revision: The store revision up to which the events are complete.
+            events: All changes after the replica's position, in the order of their revisions.
+            position: The store position up to which the events are complete.
+
+        Returns:
+            False if the events belong to another era than the replica and were ignored.
         """
+        if position.era != self.position.era:
+            return False
         for event in events:
-            if event.mod_revision <= self.revision:
+            if event.mod_revision <= self.position.revision:
                 continue
             if event.value is not None:
                 self.put_item(KeyValue(event.key, event.value, event.mod_revision))
             else:
                 self.remove_key(event.key, event.mod_revision)
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
+        return True
 
     def put_item(self, item: KeyValue) -> None:
-        """Store an item unless the replica has the same or a newer revision of its key."""
+        """Store an item unless the replica has the same or a newer revision of its key.
+
+        An item of an earlier era that has the same value is replaced without a call of `on_change`.
+        """
         current = self.items.get(item.key)
         if current is not None and current.mod_revision >= item.mod_revision:
             return
         self.items[item.key] = item
+        if (
+            current is not None
+            and current.mod_revision == UNKNOWN_REVISION
+            and current.value == item.value
+        ):
+            return
         self.advertise_change(item.key, item.mod_revision)
         self.on_change(item.key, item.value, item.mod_revision)
 
@@ -147,9 +193,10 @@
             self.on_change(key, None, revision)
 
     def advertise_change(self, key: str, revision: int) -> None:
-        """Raise the advertised revision if the key is under one of the advertised prefixes."""
+        """Raise the advertised position if the key is under one of the advertised prefixes."""
         if key.startswith(self.advertised_prefixes):
-            self.advertised_revision = max(self.advertised_revision, revision)
+            position = StorePosition(self.position.era, revision)
+            self.advertised_position = max(self.advertised_position, position)
 
     def advertise_deletions(self) -> None:
         """Make older replicas fetch the deletions that a listing did not show.
@@ -158,33 +205,36 @@
         have. Only hosts that watch the store call this; otherwise every start of a host would
         make all others fetch from it.
         """
-        self.advertised_revision = max(self.advertised_revision, self.deletions_floor)
+        floor = StorePosition(self.position.era, self.deletions_floor)
+        self.advertised_position = max(self.advertised_position, floor)
 
-    def difference_since(self, revision: int) -> Difference:
-        """Return what a replica at a revision needs to reach this one's revision.
+    def difference_since(self, base: StorePosition) -> Difference:
+        """Return what a replica at a position needs to reach this one's position.
 
-        The difference is full for revision 0 and for one that precedes the recorded deletions.
+        The difference is full for revision 0, for a revision that precedes the recorded deletions,
+        and for another era; in the last case it has all values.
         """
+        if base.era != self.position.era:
+            return Difference(base, self.position, True, list(self.items.values()), [])
+        revision = base.revision
         items = [item for item in self.items.values() if item.mod_revision > revision]
         if revision < self.deletions_floor or not revision:
             unchanged = [item.key for item in self.items.values() if item.mod_revision <= revision]
-            return Difference(revision, self.revision, True, items, [], unchanged)
+            return Difference(base, self.position, True, items, [], unchanged)
         deleted = [(key, at) for key, at in self.deletions if at > revision]
-        return Difference(revision, self.revision, False, items, deleted)
+        return Difference(base, self.position, False, items, deleted)
 
     def apply_difference(self, difference: Difference) -> bool:
         """Apply the difference that another host sent.
 
         Returns:
-            False if it was ignored: it is not newer than the replica, its base revision is ahead
-            of the replica, or it names keys that the replica should have and lacks. In the last
-            case `has_listing` becomes False, so that the next difference must be full.
+            False if it was ignored: it is not newer than the replica, its base is ahead of the
+            replica or of another era, or it names keys that the replica should have and lacks. In
+            the last case `has_listing` becomes False, so that the next one must be complete.
         """
-        if difference.revision <= self.revision and self.has_listing:
+        if difference.position <= self.position and self.has_listing:
             return False
-        if difference.base_revision and (
-            not self.has_listing or difference.base_revision > self.revision
-        ):
+        if difference.needs_base() and not self.includes(difference.base):
             return False
         if difference.is_full:
             unchanged = [self.items[key] for key in difference.unchanged_keys if key in self.items]
@@ -192,9 +242,12 @@
                 # The replica diverged from the store's history; the next one must be a listing.
                 self.has_listing = False
                 return False
-            return self.apply_listing(difference.items + unchanged, difference.revision)
+            return self.apply_listing(difference.items + unchanged, difference.position)
         events = [WatchEvent(item.key, item.value, item.mod_revision) for item in difference.items]
         events += [WatchEvent(key, None, revision) for key, revision in difference.deleted]
         events.sort(key=lambda event: event.mod_revision)
-        self.apply_events(events, difference.revision)
-        return True
+        return self.apply_events(events, difference.position)
+
+    def includes(self, base: StorePosition) -> bool:
+        """Whether the replica has a listing and every change of its era up to a position."""
+        return self.has_listing and base.era == self.position.era and base <= self.position
--- a/packages/godwitway/src/godwitway/store.py
+++ b/packages/godwitway/src/godwitway/store.py
@@ -1,14 +1,16 @@
 """Data types, errors and the client interface of the platform's key-value store."""
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 __all__ = [
+    "FIRST_POSITION",
     "Changes",
     "CompactedError",
     "KeyValue",
     "RangeResult",
     "SteeringStore",
     "StoreError",
+    "StorePosition",
     "WatchEvent",
 ]
 
@@ -21,6 +23,24 @@
     """Raised when a watch starts at a revision that the store has compacted."""
 
 
+class StorePosition(NamedTuple):
+    """A point in the store's history; a later one compares as greater.
+
+    A store that is restored from a copy loses its latest changes and gives their revisions out
+    again, so a revision alone says nothing about changes of another era.
+
+    Attributes:
+        era: How often the store has been restored, from the store's answers; 0 if they do not say.
+        revision: The number of a change within the era.
+    """
+
+    era: int
+    revision: int
+
+
+FIRST_POSITION = StorePosition(0, 0)  # Precedes every change.
+
+
 class KeyValue:
     """One key with its value and the revision of its last change."""
 
@@ -33,13 +53,19 @@
 
 
 class RangeResult:
-    """All keys under a prefix as of one store revision."""
+    """All keys under a prefix as of one store revision of an era."""
 
-    __slots__ = ("items", "revision")
+    __slots__ = ("era", "items", "revision")
 
-    def __init__(self, revision: int, items: list[KeyValue]) -> None:
+    def __init__(self, revision: int, items: list[KeyValue], era: int = 0) -> None:
         self.revision = revision
         self.items = items
+        self.era = era
+
+    @property
+    def position(self) -> StorePosition:
+        """The era and the revision."""
+        return StorePosition(self.era, self.revision)
 
 
 class WatchEvent:
@@ -54,12 +80,16 @@
 
 
 class Changes:
-    """The changes under a prefix since the requested revision, complete up to `revision`."""
+    """The changes under a prefix since the requested revision, complete up to `position`.
 
-    __slots__ = ("events", "revision")
+    The requested revision belongs to an earlier era if the store was restored meanwhile; the
+    changes then do not continue the caller's.
+    """
 
-    def __init__(self, revision: int, events: list[WatchEvent]) -> None:
-        self.revision = revision
+    __slots__ = ("events", "position")
+
+    def __init__(self, position: StorePosition, events: list[WatchEvent]) -> None:
+        self.position = position
         self.events = events
 
 
@@ -76,8 +106,8 @@
             CompactedError: The store no longer has all changes since the revision.
         """
 
-    async def put(self, item: KeyValue) -> int:
-        """Write a key, whatever its present value, and return the store's revision after it."""
+    async def put(self, item: KeyValue) -> StorePosition:
+        """Write a key, whatever its present value, and return the store's position after it."""
 
     async def remove(self, items: list[KeyValue]) -> bool:
         """Delete keys, and return whether they were deleted.
--- a/packages/godwitway/tests/steering/test_core.py
+++ b/packages/godwitway/tests/steering/test_core.py
@@ -1,6 +1,6 @@
 """Tests of a host's state, without its asyncio tasks."""
 
-from steering_builders import build_core, build_target
+from steering_builders import at, build_core, build_target
 
 from godwitway.steering._catalog import DEPARTED_RETENTION_S
 from godwitway.store import KeyValue
@@ -58,7 +58,7 @@
 
         core.announcements.decode_target = decode_target
         core.replica.apply_listing(
-            [KeyValue(f"targets/{name}", b"", 3) for name in ("1", "bad", "2")], 9
+            [KeyValue(f"targets/{name}", b"", 3) for name in ("1", "bad", "2")], at(9)
         )
         assert sorted(core.catalog.targets) == ["i-0001", "i-0002"]
         assert core.metrics.counters["internal_errors", ""] == 1
--- a/packages/godwitway/tests/steering/test_feed.py
+++ b/packages/godwitway/tests/steering/test_feed.py
@@ -4,12 +4,19 @@
 import random
 
 import pytest
-from steering_builders import FakeClock, build_replica
+from steering_builders import FakeClock, at, build_replica
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
 from godwitway.steering._feed import COALESCE_S, StoreFeed
-from godwitway.store import Changes, CompactedError, KeyValue, RangeResult, WatchEvent
+from godwitway.store import (
+    Changes,
+    CompactedError,
+    KeyValue,
+    RangeResult,
+    StoreError,
+    WatchEvent,
+)
 
 
 class ScriptedStore:
@@ -21,7 +28,7 @@
     """
 
     def __init__(self) -> None:
-        self.listing = RangeResult(9, [KeyValue("k/a", b"1", 3)])
+        self.listing = RangeResult(9, [KeyValue("k/a", b"1", 3)], 1)
         self.answers: list[Changes] = []
 
     async def range(self, prefix):
@@ -66,57 +73,83 @@
     def test_a_newly_elected_host_advertises_the_deletions_before_its_listing(self):
         """Other hosts may have keys that were deleted before the listing."""
         harness = FeedHarness()
-        harness.replica.apply_listing(harness.store.listing.items, 9)
-        assert harness.replica.advertised_revision == 3
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
+        assert harness.replica.advertised_position == at(3)
         assert harness.feed.update_election()
-        assert harness.replica.advertised_revision == 9
+        assert harness.replica.advertised_position == at(9)
 
     def test_a_host_that_is_not_elected_does_not_advertise_them(self):
         """Otherwise each start of a host would make all others fetch from it."""
         harness = FeedHarness()
         harness.is_elected = False
-        harness.replica.apply_listing(harness.store.listing.items, 9)
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
         assert not harness.feed.update_election()
-        assert harness.replica.advertised_revision == 3
+        assert harness.replica.advertised_position == at(3)
 
     def test_deletions_before_a_listing_after_compaction_are_advertised(self):
         """The listing does not show what was deleted since the lost history."""
         harness = FeedHarness()
-        harness.replica.apply_listing(harness.store.listing.items, 9)
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
         with pytest.raises(CompactedError):
             asyncio.run(harness.feed.poll_store())
         harness.feed.needs_listing = True
-        harness.store.listing = RangeResult(20, [KeyValue("k/a", b"1", 3)])
+        harness.store.listing = RangeResult(20, [KeyValue("k/a", b"1", 3)], 1)
         assert asyncio.run(harness.feed.poll_store())
-        assert (harness.replica.advertised_revision, harness.feed.needs_listing) == (20, False)
+        assert (harness.replica.advertised_position, harness.feed.needs_listing) == (at(20), False)
 
     def test_changes_are_pushed_to_other_hosts(self):
         """They need not wait for the next report."""
         harness = FeedHarness()
         assert harness.feed.update_election()
-        harness.replica.apply_listing(harness.store.listing.items, 9)
-        harness.store.answers = [Changes(10, [WatchEvent("k/b", b"2", 10)])]
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
+        harness.store.answers = [Changes(at(10), [WatchEvent("k/b", b"2", 10)])]
         assert asyncio.run(harness.feed.poll_store())
-        assert [(pushed.base_revision, pushed.revision) for pushed in harness.pushed] == [(9, 10)]
+        assert [(pushed.base, pushed.position) for pushed in harness.pushed] == [(at(9), at(10))]
+
+    def test_a_watch_that_is_answered_in_a_later_era_leads_to_a_listing(self):
+        """The changes after the watched revision are not those that the host lacks."""
+        harness = FeedHarness()
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
+        harness.store.answers = [Changes(at(10, era=2), [WatchEvent("k/b", b"2", 10)])]
+        with pytest.raises(CompactedError):
+            asyncio.run(harness.feed.poll_store())
+        assert list(harness.replica.items) == ["k/a"]
+        assert not harness.pushed
+
+    def test_a_watch_that_began_before_another_host_sent_the_restored_content_is_ignored(self):
+        """Between the position that the host has now and the watched one, changes are missing."""
+        harness = FeedHarness()
+        harness.replica.apply_listing([], at(4, era=2))
+        with pytest.raises(StoreError):
+            harness.feed.apply_changes(at(9), Changes(at(10, era=2), [WatchEvent("k/b", b"2", 10)]))
+        assert harness.replica.position == at(4, era=2)
+
+    def test_an_answer_from_before_a_restore_is_ignored(self):
+        """It may arrive late."""
+        harness = FeedHarness()
+        harness.replica.apply_listing([], at(4, era=2))
+        with pytest.raises(StoreError):
+            harness.feed.apply_changes(at(4), Changes(at(5), [WatchEvent("k/b", b"2", 5)]))
+        assert harness.replica.position == at(4, era=2)
 
     def test_a_requested_poll_calls_the_store_once_without_an_election(self):
         """The link of the host that was asked may be too slow for the changes."""
         harness = FeedHarness()
         harness.is_elected = False
-        harness.replica.apply_listing(harness.store.listing.items, 9)
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
         harness.store.answers = [
-            Changes(10, [WatchEvent("k/b", b"2", 10)]),
-            Changes(11, [WatchEvent("k/c", b"2", 11)]),
+            Changes(at(10), [WatchEvent("k/b", b"2", 10)]),
+            Changes(at(11), [WatchEvent("k/c", b"2", 11)]),
         ]
         harness.feed.request_poll()
 
         async def run_feed():
             task = asyncio.ensure_future(harness.feed.run())
-            while harness.replica.revision < 10:
+            while harness.replica.position < at(10):
                 await asyncio.sleep(0.01)
             await asyncio.sleep(2 * COALESCE_S)
             task.cancel()
 
         asyncio.run(asyncio.wait_for(run_feed(), 30.0))
-        assert harness.replica.revision == 10
+        assert harness.replica.position == at(10)
         assert not harness.pushed
--- a/packages/godwitway/tests/steering/test_groups.py
+++ b/packages/godwitway/tests/steering/test_groups.py
@@ -8,6 +8,7 @@
 from steering_builders import (
     FakeClock,
     SteeringHarness,
+    at,
     build_difference,
     build_packet,
     build_peers,
@@ -137,7 +138,7 @@
         peers = build_peers(
             harness.steering,
             member,
-            lambda: (1, self.revisions.get(own, 1)),
+            lambda: (1, at(self.revisions.get(own, 1))),
             len(self.hosts),
         )
         harness.steering.peer_load_totals = peers.peer_load_totals
@@ -217,7 +218,9 @@
         for _ in range(10):
             zone.run(0.1)
             for own, peers in zone.hosts.items():
-                newest = max(peer.advertised_revision for peer in peers.by_address.values())
+                newest = max(
+                    peer.advertised_position.revision for peer in peers.by_address.values()
+                )
                 zone.revisions[own] = max(zone.revisions.get(own, 1), newest)
         assert {zone.revisions[own] for own in zone.hosts} == {50}
 
@@ -374,7 +377,9 @@
         for _ in range(20):
             fleet.run(0.1)
             for own, peers in fleet.hosts.items():
-                newest = max(peer.advertised_revision for peer in peers.by_address.values())
+                newest = max(
+                    peer.advertised_position.revision for peer in peers.by_address.values()
+                )
                 fleet.revisions[own] = max(fleet.revisions.get(own, 1), newest)
         assert {fleet.revisions[own] for own in fleet.hosts} == {50}
 
--- a/packages/godwitway/tests/steering/test_membership.py
+++ b/packages/godwitway/tests/steering/test_membership.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from steering_builders import SteeringHarness, build_peers, build_replica
+from steering_builders import SteeringHarness, at, build_peers, build_replica
 
 from godwitway.steering import _membership
 from godwitway.steering._membership import Registration
@@ -16,6 +16,7 @@
     Attributes:
         is_down: Whether calls fail.
         revision: The current revision.
+        era: The current era.
         written: The keys that were written.
         removed: The keys and revisions that were to be removed.
     """
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self.is_down = False
         self.revision = 20
+        self.era = 1
         self.written = []
         self.removed = []
 
@@ -32,7 +34,7 @@
             raise StoreError("down")
         self.revision += 1
         self.written.append(item.key)
-        return self.revision
+        return at(self.revision, self.era)
 
     async def remove(self, items):
         """Record a removal."""
@@ -71,7 +73,7 @@
     def list_own_key(self, value: bytes | None = None) -> None:
         """Let the replica list this host's key at revision 9, with its own or another value."""
         item = self.registration.item
-        self.replica.apply_listing([KeyValue(item.key, value or item.value, 5)], 9)
+        self.replica.apply_listing([KeyValue(item.key, value or item.value, 5)], at(9))
 
 
 class TestIsNeeded:
@@ -94,7 +96,7 @@
     def test_a_written_key_is_not_written_again_before_the_replica_can_show_it(self):
         """Changes of hosts reach a replica late."""
         harness = RegistrationHarness()
-        harness.replica.apply_listing([], 9)
+        harness.replica.apply_listing([], at(9))
         assert asyncio.run(harness.registration.register())
         assert not harness.registration.is_needed()
 
@@ -103,7 +105,15 @@
         harness = RegistrationHarness()
         harness.list_own_key()
         key = harness.registration.item.key
-        harness.replica.apply_events([WatchEvent(key, None, 30)], 30)
+        harness.replica.apply_events([WatchEvent(key, None, 30)], at(30))
+        assert harness.registration.is_needed()
+
+    def test_a_key_that_the_store_lost_after_acknowledging_it_is_written_again(self):
+        """The revision of the write is higher than those of the restored store."""
+        harness = RegistrationHarness()
+        harness.replica.apply_listing([], at(9))
+        assert asyncio.run(harness.registration.register())
+        harness.replica.apply_listing([], at(7, era=2))
         assert harness.registration.is_needed()
 
 
@@ -134,7 +144,7 @@
     def test_keys_of_dead_hosts_are_removed_at_the_revision_that_is_known(self):
         """A host that registered again meanwhile must keep its key."""
         harness = RegistrationHarness()
-        harness.replica.apply_listing([KeyValue("hosts/a/x", b"1", 5)], 9)
+        harness.replica.apply_listing([KeyValue("hosts/a/x", b"1", 5)], at(9))
         harness.peers.find_dead_hosts = lambda now: ["hosts/a/x", "hosts/a/unknown"]
         assert asyncio.run(harness.registration.remove_dead_hosts())
         assert harness.store.removed == [[("hosts/a/x", 5)]]
--- a/packages/godwitway/tests/steering/test_node.py
+++ b/packages/godwitway/tests/steering/test_node.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from steering_builders import build_config, build_core, build_report
+from steering_builders import at, build_config, build_core, build_report
 
 from godwitway.steering import _node
+from godwitway.steering._changes import decode_difference
 from godwitway.steering._loads import encode_report, hash_zone
 from godwitway.steering._node import MAX_CACHED_DIFFERENCES, MAX_FETCHES, SteeringNode
 from godwitway.store import KeyValue
@@ -24,7 +25,7 @@
     core, _ = build_core()
     core.settings.control = ("10.1.0.1", 8)
     core.catalog.apply_config(build_config())
-    core.replica.apply_listing([KeyValue("hosts/x", b"", 4)], 9)
+    core.replica.apply_listing([KeyValue("hosts/x", b"", 4)], at(9))
     return SteeringNode(core, NoConnections())
 
 
@@ -33,7 +34,7 @@
     for number in hosts:
         (datagram,) = encode_report(
             build_report(
-                boot_id=100 + number, zone_hash=hash_zone(zone), advertised_revision=revision
+                boot_id=100 + number, zone_hash=hash_zone(zone), advertised_position=at(revision)
             )
         )
         node.core.peers.handle_datagram(datagram, (f"10.{ord(zone)}.0.{number}", 7))
@@ -107,17 +108,26 @@
         monkeypatch.setattr(
             _node, "encode_difference", lambda diff: encoded.append(diff) or original(diff)
         )
-        assert len({node.changes_since(4) for _ in range(50)}) == 1
+        assert len({node.changes_since(at(4)) for _ in range(50)}) == 1
         assert len(encoded) == 1
-        node.replica.apply_events([], 12)
-        node.changes_since(4)
+        node.replica.apply_events([], at(12))
+        node.changes_since(at(4))
         assert len(encoded) == 2
 
+    def test_a_difference_from_before_a_restore_is_not_sent_again(self):
+        """The store may give the revision that hosts request from out for other changes."""
+        node = build_node()
+        node.changes_since(at(4))
+        node.replica.apply_listing([KeyValue("hosts/y", b"", 9)], at(9, era=2))
+        difference = decode_difference(node.changes_since(at(4)))
+        assert [item.key for item in difference.items] == ["hosts/y"]
+        assert difference.position == at(9, era=2)
+
     def test_few_encoded_differences_are_kept(self):
         """Each may be as large as a configuration."""
         node = build_node()
         for revision in range(9):
-            node.changes_since(revision)
+            node.changes_since(at(revision))
         assert len(node.encoded_differences) == MAX_CACHED_DIFFERENCES
 
 
--- a/packages/godwitway/tests/steering/test_replica_model.py
+++ b/packages/godwitway/tests/steering/test_replica_model.py
@@ -9,9 +9,11 @@
     possible_steps,
     settle_fleet,
     store_items_at,
+    store_position,
 )
 
 from godwitway.steering._replica import Replica
+from godwitway.store import FIRST_POSITION
 
 MAX_STEPS = 7
 
@@ -26,18 +28,18 @@
     """
     for host in HOSTS:
         old, new = before.replicas[host], after.replicas[host]
-        if new.revision < old.revision and host != restarted:
-            return f"host {host} went back from {old.revision} to {new.revision}"
+        if new.position < old.position and host != restarted:
+            return f"host {host} went back from {old.position} to {new.position}"
         items = {key: (value, at) for key, value, at in new.items}
-        if new.has_listing and items != store_items_at(after, new.revision):
-            return f"host {host} has another state than the store at {new.revision}"
+        if new.has_listing and items != store_items_at(after, new.position):
+            return f"host {host} has another state than the store at {new.position}"
     return ""
 
 
 def is_stuck(fleet: Fleet) -> bool:
     """Whether a host still lacks an advertised change after the first host reaches the store."""
     settled = settle_fleet(fleet)
-    expected = store_items_at(settled, 1 << 30)
+    expected = store_items_at(settled, store_position(settled))
     return any(
         {key: (value, at) for key, value, at in replica.items if key.startswith(PREFIXES)}
         != {key: entry for key, entry in expected.items() if key.startswith(PREFIXES)}
@@ -76,7 +78,7 @@
     """Two hosts, one store, and every sequence of up to seven steps."""
 
     def test_no_host_goes_back_differs_from_the_store_or_is_stuck(self):
-        """Messages are late, repeated, reordered or lost; hosts restart; history is compacted."""
+        """Messages are late, repeated or lost; hosts restart; the store loses changes."""
         states, failure = search(MAX_STEPS)
         assert failure == ""
         assert states > 10_000
@@ -86,7 +88,7 @@
         original = Replica.apply_difference
 
         def apply(self, difference):
-            difference.base_revision = 0
+            difference.base = self.position
             return original(self, difference)
 
         monkeypatch.setattr(Replica, "apply_difference", apply)
@@ -96,9 +98,9 @@
         """The search fails if a listing that is older than the replica is applied."""
         original = Replica.apply_listing
 
-        def apply_listing(self, items, revision):
-            self.revision = 0
-            return original(self, items, revision)
+        def apply_listing(self, items, position):
+            self.position = FIRST_POSITION
+            return original(self, items, position)
 
         monkeypatch.setattr(Replica, "apply_listing", apply_listing)
         assert "went back" in search(MAX_STEPS)[1]
@@ -108,9 +110,9 @@
         original = Replica.remove_key
 
         def remove(self, key, revision):
-            advertised_revision = self.advertised_revision
+            advertised_position = self.advertised_position
             original(self, key, revision)
-            self.advertised_revision = advertised_revision
+            self.advertised_position = advertised_position
 
         monkeypatch.setattr(Replica, "remove_key", remove)
         assert "stuck" in search(MAX_STEPS)[1]
@@ -119,3 +121,30 @@
         """A started host that is elected to watch never received the earlier deletions."""
         monkeypatch.setattr(Replica, "advertise_deletions", lambda self: None)
         assert "stuck" in search(MAX_STEPS)[1]
+
+    def test_the_search_finds_a_comparison_of_revisions_of_different_eras(self, monkeypatch):
+        """The search fails if a host that missed the restore gets changes since its revision."""
+        original = Replica.difference_since
+
+        def difference_since(self, base):
+            return original(self, base._replace(era=self.position.era))
+
+        monkeypatch.setattr(Replica, "difference_since", difference_since)
+        assert search(MAX_STEPS)[1]
+
+    def test_the_search_finds_a_listing_after_a_restore_that_is_ignored(self, monkeypatch):
+        """The search fails if a listing of a later era with a lower revision is not applied."""
+        original = Replica.apply_listing
+
+        def apply_listing(self, items, position):
+            if position.revision < self.position.revision:
+                return False
+            return original(self, items, position)
+
+        monkeypatch.setattr(Replica, "apply_listing", apply_listing)
+        assert search(MAX_STEPS)[1]
+
+    def test_the_search_finds_an_item_that_is_kept_for_its_revision(self, monkeypatch):
+        """The search fails if items of different eras are compared by revision."""
+        monkeypatch.setattr(Replica, "begin_era", lambda self, era: None)
+        assert search(MAX_STEPS)[1]
--- a/packages/godwitway/tests/steering_builders.py
+++ b/packages/godwitway/tests/steering_builders.py
@@ -21,7 +21,7 @@
 from godwitway.steering._peers import Member, Peers
 from godwitway.steering._replica import Difference, Replica
 from godwitway.steering._settings import SteeringSettings
-from godwitway.store import KeyValue
+from godwitway.store import KeyValue, StorePosition
 
 # Service addresses of the routes in `build_config`; steering treats them as opaque bytes.
 BOARD = b"\x01\x00board"
@@ -101,13 +101,18 @@
     return packet
 
 
+def at(revision: int, era: int = 1) -> StorePosition:
+    """Return the position of the store at a revision, in the first era unless another is given."""
+    return StorePosition(era, revision)
+
+
 def build_report(**overrides: Any) -> Report:
     """Return a report of a host in zone a; `overrides` replace its fields."""
     fields = {
         "boot_id": 9,
         "zone_hash": hash_zone("a"),
         "config_version": 3,
-        "advertised_revision": 40,
+        "advertised_position": at(40),
         "in_rotation": True,
         "zone_short": False,
         "reaches_store": True,
@@ -158,7 +163,7 @@
 
 def build_difference(size: int = 3, full: bool = False) -> Difference:
     """Return a difference with one deletion and one item with a value of a size in bytes."""
-    return Difference(4, 9, full, [KeyValue("k/a", b"x" * size, 8)], [("k/b", 9)])
+    return Difference(at(4), at(9), full, [KeyValue("k/a", b"x" * size, 8)], [("k/b", 9)])
 
 
 class SteeringHarness:
@@ -215,7 +220,7 @@
 def build_peers(
     steering: Steering,
     own: Member | None = None,
-    versions: Callable[[], tuple[int, int]] = lambda: (3, 40),
+    versions: Callable[[], tuple[int, StorePosition]] = lambda: (3, at(40)),
     seed: int = 1,
 ) -> Peers:
     """Return the peers of a host: of `host-1` in zone a, unless another one is given."""
