Ignore targets' entries of a restored store that are older than known

Callers would get new flows to a target that drains, or that has left, from the store's return until the target has repeated its report.

Targets number their updates within an incarnation (the field "sequence"), which was decoded and dropped. At a restore hosts now remember the last number of each target, also of those that have left, and leave out entries with a lower one until the target's own next update. Within an era the order of revisions stays what counts, so a number that another writer made up keeps nothing out.

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -5,7 +5,9 @@
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
 from godwitway.steering._catalog import Catalog
+from godwitway.steering._known_updates import KnownUpdates
 from godwitway.steering._model import FleetConfig, Target
+from godwitway.store import StorePosition
 
 __all__ = ["Announcements", "EntryError"]
 
@@ -25,6 +27,7 @@
         catalog: The catalog to update.
         held_until: For each target whose entry was deleted while it was not draining, by id, when
             it is removed from the catalog, in seconds.
+        known_updates: Recognizes entries that are older than what was applied before a restore.
         target_id_by_key: The id of the target that each key of the store last described.
         on_target_restart: Called with the id of a target that was announced with a new start time.
     """
@@ -45,9 +48,15 @@
         self.metrics = metrics
         self.journal = journal
         self.held_until: dict[str, float] = {}
+        self.known_updates = KnownUpdates()
         self.target_id_by_key: dict[str, str] = {}
         self.on_target_restart: Callable[[str], None] = lambda target_id: None
 
+    def begin_restored_era(self, position: StorePosition) -> None:
+        """Remember what is known before the entries of a restored store are applied."""
+        catalog = self.catalog
+        self.known_updates.remember(catalog.targets.values(), catalog.departed_targets())
+
     def apply_config_entry(self, key: str, value: bytes | None, revision: int) -> None:
         """Apply a change of the configuration's entry.
 
@@ -101,6 +110,11 @@
             self.reject_target_entry(key, str(error), revision)
             return
         self.target_id_by_key[key] = target.id
+        if self.known_updates.is_outdated(target):
+            self.metrics.count("entries_outdated")
+            self.journal.event("entry_outdated", target=target.id, revision=revision)
+            return
+        self.known_updates.forget(target.id)
         self.held_until.pop(target.id, None)
         known = self.catalog.targets.get(target.id)
         restarted = known is not None and known.started_ms != target.started_ms
--- a/packages/godwitway/src/godwitway/steering/_catalog.py
+++ b/packages/godwitway/src/godwitway/steering/_catalog.py
@@ -18,6 +18,7 @@
     "cold_until",
     "started_ms",
     "envelope",
+    "update_number",
 )
 
 
@@ -138,6 +139,10 @@
             self.generation += 1
         return target
 
+    def departed_targets(self) -> list[Target]:
+        """Return the targets that left at most `DEPARTED_RETENTION_S` ago."""
+        return [target for target in self.by_token.values() if target.id in self.departed_at]
+
     def remove_departed(self, now: float) -> None:
         """Free the tokens of targets that left more than `DEPARTED_RETENTION_S` ago."""
         expired = [id for id, at in self.departed_at.items() if now - at > DEPARTED_RETENTION_S]
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -155,9 +155,10 @@
             self.record_internal_error("entry_failed", error, key=key, revision=revision)
 
     def handle_restored_store(self, position: StorePosition) -> None:
-        """Count and log that the store was restored from a copy and has lost changes."""
+        """Prepare for the entries of a store that was restored from a copy, and log the restore."""
         self.metrics.count("store_restores")
         self.journal.event("store_restored", era=position.era, revision=position.revision)
+        self.announcements.begin_restored_era(position)
 
     def record_internal_error(self, event: str, error: Exception, **fields: Any) -> None:
         """Count and log an unexpected error.
--- /dev/null
+++ b/packages/godwitway/src/godwitway/steering/_known_updates.py
@@ -0,0 +1,44 @@
+"""Recognizes targets' entries that a restored store has in an older form than this host knows."""
+
+from collections.abc import Iterable
+
+from godwitway.steering._model import Target
+
+__all__ = ["KnownUpdates"]
+
+
+class KnownUpdates:
+    """The updates of targets' entries that were applied before the store was last restored.
+
+    The copy from which a store is restored may lack a target's last updates, such as that it drains
+    or has left. Targets number their updates, so that older ones are recognized.
+
+    Attributes:
+        next_updates: For each target the incarnation's start time in Unix milliseconds, and the
+            number of the first update that is not outdated, by the target's id.
+    """
+
+    __slots__ = ("next_updates",)
+
+    def __init__(self) -> None:
+        self.next_updates: dict[str, tuple[int, int]] = {}
+
+    def remember(self, current: Iterable[Target], departed: Iterable[Target]) -> None:
+        """Replace what is known by the state at a restore.
+
+        Args:
+            current: The targets in the catalog; their last update may be repeated.
+            departed: The targets that have left; only a later update brings one back.
+        """
+        self.next_updates = {
+            target.id: (target.started_ms, target.update_number) for target in current
+        } | {target.id: (target.started_ms, target.update_number + 1) for target in departed}
+
+    def is_outdated(self, announced: Target) -> bool:
+        """Whether a later update of the same incarnation was applied before the restore."""
+        started_ms, next_update = self.next_updates.get(announced.id, (None, 0))
+        return announced.started_ms == started_ms and announced.update_number < next_update
+
+    def forget(self, target_id: str) -> None:
+        """Forget a target after an update that is not outdated; later ones come in order."""
+        self.next_updates.pop(target_id, None)
--- a/packages/godwitway/src/godwitway/steering/_model.py
+++ b/packages/godwitway/src/godwitway/steering/_model.py
@@ -117,6 +117,7 @@
         cold_until: When its warm-up ends, in seconds of this process's clock.
         started_ms: When it started, in Unix milliseconds; identifies the incarnation.
         envelope: The bytes to prepend to each packet that is forwarded to it.
+        update_number: A number that rises with each update of the entry by one incarnation.
         token: The route token that its flows carry; assigned by the catalog, 0 before.
     """
 
@@ -130,6 +131,7 @@
         "slots",
         "started_ms",
         "token",
+        "update_number",
         "zone",
     )
 
@@ -144,6 +146,7 @@
         cold_until: float = 0.0,
         started_ms: int = 0,
         envelope: bytes = b"",
+        update_number: int = 0,
     ) -> None:
         self.id = id
         self.service = service
@@ -154,6 +157,7 @@
         self.cold_until = cold_until
         self.started_ms = started_ms
         self.envelope = envelope
+        self.update_number = update_number
         self.token = 0
 
 
--- a/packages/godwitway/tests/steering/test_announcements.py
+++ b/packages/godwitway/tests/steering/test_announcements.py
@@ -1,7 +1,7 @@
 """Tests of applying entries of targets and configurations to the catalog."""
 
 import pytest
-from steering_builders import FakeClock, build_config, build_target
+from steering_builders import FakeClock, at, build_config, build_target
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
@@ -18,12 +18,18 @@
 
 
 def decode_target(key: str, value: bytes, now: float):
-    """Decode a value of the form ``STATE [START]``."""
-    state, _, started = value.decode().partition(" ")
+    """Decode a value of the form ``STATE [START [UPDATE_NUMBER]]``."""
+    state, _, rest = value.decode().partition(" ")
+    started, _, update_number = rest.partition(" ")
     if state not in ("ready", "draining"):
         raise EntryError(f"state: unknown state {state!r}")
     number = int(key.rpartition("/")[2])
-    return build_target(number, draining=state == "draining", started_ms=int(started or 1))
+    return build_target(
+        number,
+        draining=state == "draining",
+        started_ms=int(started or 1),
+        update_number=int(update_number or 0),
+    )
 
 
 class AnnouncementsHarness:
@@ -44,9 +50,9 @@
         )
         self.announcements.on_target_restart = self.restarted.append
 
-    def change_entry(self, value: bytes | None, number: int = 1) -> None:
+    def change_entry(self, value: bytes | None, number: int = 1, revision: int = 5) -> None:
         """Apply a change of a target's entry; None deletes it."""
-        self.announcements.apply_target_entry(f"servers/{number}", value, 5)
+        self.announcements.apply_target_entry(f"servers/{number}", value, revision)
 
 
 class TestDeletedEntries:
@@ -127,3 +133,44 @@
         assert not harness.restarted
         harness.change_entry(b"ready 2")
         assert harness.restarted == ["i-0001"]
+
+
+class TestRestoredStore:
+    """Entries of a store that was restored from a copy."""
+
+    def test_a_draining_target_is_not_ready_again_by_an_older_entry(self):
+        """It would get new flows until it repeats that it drains."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready 1 7")
+        harness.change_entry(b"draining 1 9")
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"ready 1 7", revision=3)
+        harness.change_entry(b"ready 1 8", revision=5)
+        assert harness.catalog.targets["i-0001"].draining
+        assert [line["event"] for line in harness.lines].count("entry_outdated") == 2
+
+    def test_a_target_that_left_does_not_return_by_an_older_entry(self):
+        """Its address may belong to another target."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"draining 1 9")
+        harness.change_entry(None)
+        assert not harness.catalog.targets
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"draining 1 9", revision=3)
+        assert not harness.catalog.targets
+
+    @pytest.mark.parametrize("value", [b"ready 1 9", b"ready 1 10", b"ready 2 1"])
+    def test_a_repeated_a_later_and_another_incarnations_entry_are_applied(self, value):
+        """Targets write again what the store has lost, and may have restarted meanwhile."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"draining 1 9")
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(value, revision=6)
+        assert not harness.catalog.targets["i-0001"].draining
+
+    def test_entries_of_one_era_apply_in_the_order_of_their_revisions(self):
+        """A number that another writer made up must not keep the target's own updates out."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready 1 999")
+        harness.change_entry(b"draining 1 9")
+        assert harness.catalog.targets["i-0001"].draining
