Hold a draining target whose entry the restored store has lost

Callers with flows at a draining target would be reset: its entry is missing in the copy, and a draining target whose entry goes was taken out at once, since a leaving target deletes it. A key that is missing in the first listing of an era was not deleted but lost; its target is now held like any other one whose entry lapses.

The new test fails on the code before (trial on a scratch copy).

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -25,9 +25,11 @@
 
     Attributes:
         catalog: The catalog to update.
-        held_until: For each target whose entry was deleted while it was not draining, by id, when
-            it is removed from the catalog, in seconds.
+        held_until: For each target whose entry was deleted while it was not draining, or was lost
+            by the store, by id, when it is removed from the catalog, in seconds.
         known_updates: Recognizes entries that are older than what was applied before a restore.
+        restored_revision: The revision of the listing that showed that the store was restored; keys
+            that are missing there were not deleted but lost. 0 before the first restore.
         target_id_by_key: The id of the target that each key of the store last described.
         on_target_restart: Called with the id of a target that was announced with a new start time.
     """
@@ -49,11 +51,13 @@
         self.journal = journal
         self.held_until: dict[str, float] = {}
         self.known_updates = KnownUpdates()
+        self.restored_revision = 0
         self.target_id_by_key: dict[str, str] = {}
         self.on_target_restart: Callable[[str], None] = lambda target_id: None
 
     def begin_restored_era(self, position: StorePosition) -> None:
         """Remember what is known before the entries of a restored store are applied."""
+        self.restored_revision = position.revision
         catalog = self.catalog
         self.known_updates.remember(catalog.targets.values(), catalog.departed_targets())
 
@@ -146,12 +150,15 @@
             target.draining = True
 
     def handle_deleted_entry(self, key: str, revision: int) -> None:
-        """Remove a draining target at once, and any other one after `ENTRY_HOLD_S`."""
+        """Remove a draining target at once, and any other one after `ENTRY_HOLD_S`.
+
+        A draining target whose entry the store has lost may still have flows, and is held too.
+        """
         target_id = self.target_id_by_key.pop(key, "")
         target = self.catalog.targets.get(target_id)
         if target is None:
             return
-        if target.draining:
+        if target.draining and revision > self.restored_revision:
             self.remove_from_catalog(target_id, "left")
         else:
             self.held_until[target_id] = self.now() + ENTRY_HOLD_S
--- a/packages/godwitway/tests/steering/test_announcements.py
+++ b/packages/godwitway/tests/steering/test_announcements.py
@@ -174,3 +174,22 @@
         harness.change_entry(b"ready 1 999")
         harness.change_entry(b"draining 1 9")
         assert harness.catalog.targets["i-0001"].draining
+
+    def test_flows_of_a_draining_target_whose_entry_was_lost_are_not_reset(self):
+        """It serves them and writes its entry again; if it does not, it is removed."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"draining 1 9")
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(None, revision=4)
+        assert "i-0001" in harness.catalog.targets
+        harness.clock.time += ENTRY_HOLD_S
+        harness.announcements.remove_lapsed_targets()
+        assert not harness.catalog.targets
+
+    def test_a_draining_target_that_leaves_after_the_restore_is_removed_at_once(self):
+        """Its entry was deleted, not lost."""
+        harness = AnnouncementsHarness()
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"draining 1 9", revision=5)
+        harness.change_entry(None, revision=6)
+        assert not harness.catalog.targets
