Take a newer configuration over from other hosts after a restore

Callers of a route that was added before the restore would be refused by a host that starts after it: until the operator has repeated the change, the store has an older version, and the host served that one although the others had the newer one in force and said so in their reports.

A host whose peer advertises no later position but a newer version fetches the configuration from the peer. Versions order configurations across restores.

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -25,6 +25,7 @@
 
     Attributes:
         catalog: The catalog to update.
+        config_value: The configuration in force as the store had it, None before the first one.
         held_until: For each target whose entry was deleted while it was not draining, or was lost
             by the store, by id, when it is removed from the catalog, in seconds.
         known_updates: Recognizes entries that are older than what was applied before a restore.
@@ -49,6 +50,7 @@
         self.now = now
         self.metrics = metrics
         self.journal = journal
+        self.config_value: bytes | None = None
         self.held_until: dict[str, float] = {}
         self.known_updates = KnownUpdates()
         self.restored_revision = 0
@@ -88,6 +90,7 @@
                 in_force=self.catalog.config.version,
             )
             return
+        self.config_value = value
         self.metrics.count("configs_applied")
         self.journal.event(
             "config_in_force",
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -217,12 +217,18 @@
             self.steering.is_ready and not self.is_leaving and not self.rotation.yield_reason
         )
 
+    def config_version(self) -> int:
+        """Return the version of the configuration in force, 0 without one."""
+        return self.catalog.config.version if self.catalog.config else 0
+
     def get_reported_versions(self) -> tuple[int, StorePosition]:
         """Return the configuration's version, 0 without one, and the advertised position."""
-        return (
-            self.catalog.config.version if self.catalog.config else 0,
-            self.replica.advertised_position,
-        )
+        return self.config_version(), self.replica.advertised_position
+
+    def apply_config_of_host(self, value: bytes) -> None:
+        """Apply the configuration that another host has in force, unless this one's is newer."""
+        revision = self.replica.position.revision
+        self.announcements.apply_config_entry(self.formats.config_key, value, revision)
 
     def watches_store(self) -> bool:
         """Whether this host currently watches the store on behalf of others."""
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -30,12 +30,15 @@
 # The number of seeds, and of reporting hosts, to fetch from at the start: a second one in case the
 # first is dead, but few, because a whole zone may start at once.
 MAX_FETCHES = 2
+STATUS_OK = 200
 TASK_RESTART_DELAY_S = 1.0
 START_RETRY_S = 0.1  # Rises to 0.5 s; a host without configuration serves nobody.
 # Leaves two more attempts within the 3 s in which a change must take effect.
 FETCH_TIMEOUT_S = 1.0
 MAX_CACHED_DIFFERENCES = 4  # Most hosts of a zone have the same revision.
 CHANGES_PATH = "/changes/"
+CONFIG_PATH = "/config"
+CONFIG_FETCH_INTERVAL_S = 1.0  # Two attempts within the 3 s in which a change must take effect.
 CATCH_UP_DELAY_S = 0.25  # Spreads the requests of a zone's hosts to the one that has the changes.
 ROTATION_EXIT_S = 1.2  # Routers take a host out of rotation after two probes, half a second apart.
 QUIET_PERIOD_S = 0.5  # After this long without a packet of a caller, none is on its way.
@@ -94,6 +97,8 @@
         is_stopping: Whether a planned stop has begun.
         stopped: Set when a planned stop is complete.
         is_catching_up: Whether changes are being fetched from another host.
+        is_fetching_config: Whether the configuration was requested from another host less than
+            `CONFIG_FETCH_INTERVAL_S` ago.
         store: The store client that registers the host and lists the store at the start.
         feed: Follows the store over a connection of its own.
         registration: Keeps this host's key in the store, over the connection of `store`.
@@ -111,6 +116,7 @@
         self.is_stopping = False
         self.stopped = asyncio.Event()
         self.is_catching_up = False
+        self.is_fetching_config = False
         self.encoded_differences: dict[StorePosition, bytes] = {}
         self.encoded_position = FIRST_POSITION
         self.replica = core.replica
@@ -278,7 +284,7 @@
         path = f"{CHANGES_PATH}{base.era}/{base.revision}"
         try:
             response = await connection.request("GET", path, b"", FETCH_TIMEOUT_S)
-            if response.status != 200:
+            if response.status != STATUS_OK:
                 return False
             difference = decode_difference(response.body)
         except (HttpError, ValueError) as error:
@@ -301,10 +307,44 @@
         self.core.peers.reaches_store = answered
 
     def compare_revisions(self, peer: PeerState) -> None:
-        """Start catching up if a peer advertises a position that this host has not reached."""
-        if peer.advertised_position > self.replica.position and not self.is_catching_up:
-            self.is_catching_up = True
-            self.spawn(self.catch_up())
+        """Start catching up if a peer advertises a position that this host has not reached.
+
+        A peer without such a position but with a newer configuration has it from before the store
+        was restored from a copy. The configuration is then fetched from the peer.
+        """
+        if peer.advertised_position > self.replica.position:
+            if not self.is_catching_up:
+                self.is_catching_up = True
+                self.spawn(self.catch_up())
+        elif peer.config_version > self.core.config_version() and not self.is_fetching_config:
+            self.is_fetching_config = True
+            self.spawn(self.fetch_newer_config(peer))
+
+    async def fetch_config(self, address: Address) -> None:
+        """Fetch the configuration that another host has in force, and apply it.
+
+        Args:
+            address: The other host's control address.
+        """
+        connection = HttpConnection(address, FETCH_TIMEOUT_S)
+        try:
+            response = await connection.request("GET", CONFIG_PATH, b"", FETCH_TIMEOUT_S)
+            if response.status == STATUS_OK:
+                self.metrics.count("configs_taken")
+                self.journal.event("config_taken", peer=format_address(address))
+                self.core.apply_config_of_host(response.body)
+        except HttpError as error:
+            self.journal.event("changes_failed", peer=format_address(address), reason=str(error))
+        finally:
+            connection.close()
+
+    async def fetch_newer_config(self, peer: PeerState) -> None:
+        """Fetch a peer's configuration, at most once every `CONFIG_FETCH_INTERVAL_S`."""
+        try:
+            await self.fetch_config((peer.address[0], self.core.settings.control[1]))
+            await asyncio.sleep(CONFIG_FETCH_INTERVAL_S)
+        finally:
+            self.is_fetching_config = False
 
     async def catch_up(self) -> None:
         """Fetch changes from one of the live hosts that have them, otherwise from the store.
@@ -368,11 +408,13 @@
         return 200, self.metrics.text_exposition(), "text/plain; version=0.0.4"
 
     async def handle_control(self, request: HttpRequest) -> tuple[int, bytes, str]:
-        """Serve store changes to other hosts, the metrics and the state dump."""
+        """Serve store changes and the configuration to other hosts, metrics and the state dump."""
         if request.path.startswith(CHANGES_PATH) and self.core.catalog.config is not None:
             base = parse_position(request.path.removeprefix(CHANGES_PATH))
             if base is not None:
                 return 200, self.changes_since(base), "application/octet-stream"
+        if request.path == CONFIG_PATH and self.core.announcements.config_value is not None:
+            return 200, self.core.announcements.config_value, "application/octet-stream"
         if request.path == "/metrics":
             return await self.handle_metrics(request)
         if request.path == "/state":
--- a/packages/godwitway/tests/steering/test_node.py
+++ b/packages/godwitway/tests/steering/test_node.py
@@ -4,6 +4,7 @@
 
 from steering_builders import at, build_config, build_core, build_report
 
+from godwitway.http import HttpRequest
 from godwitway.steering import _node
 from godwitway.steering._changes import decode_difference
 from godwitway.steering._loads import encode_report, hash_zone
@@ -153,3 +154,31 @@
         asyncio.run(run())
         assert starts == [0, 1, 2]
         assert node.metrics.counters["internal_errors", ""] == 2
+
+
+class TestConfiguration:
+    """A configuration that other hosts have from before a restore of the store."""
+
+    def test_a_newer_configuration_of_a_host_without_newer_changes_is_fetched(self):
+        """The store that this host has listed has an older one."""
+        node = build_node()
+        fetched = []
+        node.core.peers.on_report = node.compare_revisions
+        node.spawn = lambda job: (fetched.append(job.__name__), job.close())
+        node.core.catalog.apply_config(build_config(5))
+        receive_reports(node, "a", range(1, 3), revision=8)
+        assert fetched == []
+        node.core.catalog.config.version = 2
+        receive_reports(node, "a", range(1, 3), revision=8)
+        assert fetched == ["fetch_newer_config"]
+
+    def test_the_configuration_in_force_is_served_to_other_hosts(self):
+        """As the store had it, not as the restored store has it."""
+        node = build_node()
+        node.core.formats.decode_config = lambda value: build_config(int(value))
+        node.core.announcements.decode_config = node.core.formats.decode_config
+        node.core.apply_config_of_host(b"7")
+        node.core.apply_config_of_host(b"6")
+        answer = asyncio.run(node.handle_control(HttpRequest("GET", "/config")))
+        assert answer[:2] == (200, b"7")
+        assert node.core.config_version() == 7
