Keep the open flows of targets whose entries lapse until the targets are silent

Callers with flows at a live target would be reset once its entry had been missing for 2.2 s. An entry is missing so long not only when its target has died, but also when its updates do not reach the store, or are lost by it: a restored store lacks what was written since the copy, the targets write it again within about two seconds, and a change reaches all hosts up to 0.65 s later (0.4 s between two watches, 0.25 s before a host fetches).

Such a target now gets no new flows, and stays for its open ones: they are reset at their first retransmission if the target has not answered anybody for a second. It is removed when it does not answer, when another target has its address, or when no flow can be left.

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -4,7 +4,7 @@
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
-from godwitway.steering._catalog import Catalog
+from godwitway.steering._catalog import MAX_FLOW_LIFETIME_S, Catalog
 from godwitway.steering._known_updates import KnownUpdates
 from godwitway.steering._model import FleetConfig, Target
 from godwitway.store import StorePosition
@@ -27,7 +27,9 @@
         catalog: The catalog to update.
         config_value: The configuration in force as the store had it, None before the first one.
         held_until: For each target whose entry was deleted while it was not draining, or was lost
-            by the store, by id, when it is removed from the catalog, in seconds.
+            by the store, by id, until when the entry may be written again, in seconds.
+        lapsed_until: For each target whose entry was not written again in time, by id, when it can
+            have no open flow any more, in seconds.
         known_updates: Recognizes entries that are older than what was applied before a restore.
         restored_revision: The revision of the listing that showed that the store was restored; keys
             that are missing there were not deleted but lost. 0 before the first restore.
@@ -52,6 +54,7 @@
         self.journal = journal
         self.config_value: bytes | None = None
         self.held_until: dict[str, float] = {}
+        self.lapsed_until: dict[str, float] = {}
         self.known_updates = KnownUpdates()
         self.restored_revision = 0
         self.target_id_by_key: dict[str, str] = {}
@@ -123,6 +126,7 @@
             return
         self.known_updates.forget(target.id)
         self.held_until.pop(target.id, None)
+        self.lapsed_until.pop(target.id, None)
         known = self.catalog.targets.get(target.id)
         restarted = known is not None and known.started_ms != target.started_ms
         is_changed = known is None or restarted or known.draining != target.draining
@@ -167,14 +171,38 @@
             self.held_until[target_id] = self.now() + ENTRY_HOLD_S
             self.journal.event("target_vanished", target=target_id, revision=revision)
 
-    def remove_lapsed_targets(self) -> None:
-        """Remove the targets whose entries were not written again in time."""
+    def lapse_targets(self) -> None:
+        """Send no new flows to the targets whose entries were not written again in time."""
         now = self.now()
         for target_id in [
             target_id for target_id, until in self.held_until.items() if until <= now
         ]:
             del self.held_until[target_id]
-            self.remove_from_catalog(target_id, "lapsed")
+            self.lapsed_until[target_id] = now + MAX_FLOW_LIFETIME_S
+            self.catalog.lapse_target(self.catalog.targets[target_id])
+            self.journal.event("target_lapsed", target=target_id)
+
+    def remove_lapsed_targets(self, is_unreachable: Callable[[Target], bool]) -> None:
+        """Remove the targets with lapsed entries that have ended.
+
+        An entry lapses when its target dies, and when the target's updates do not reach the store
+        or are lost by it. So a target stays for its open flows until it does not answer, another
+        target has its address, or a flow can last no longer.
+
+        Args:
+            is_unreachable: Whether a target does not answer as far as this host can tell.
+        """
+        if not self.lapsed_until:
+            return
+        now = self.now()
+        in_use = {
+            target.address for target in self.catalog.targets.values() if not target.has_lapsed
+        }
+        for target_id, until in list(self.lapsed_until.items()):
+            target = self.catalog.targets[target_id]
+            if until <= now or target.address in in_use or is_unreachable(target):
+                del self.lapsed_until[target_id]
+                self.remove_from_catalog(target_id, "lapsed")
 
     def remove_from_catalog(self, target_id: str, reason: str) -> None:
         """Remove a target from the catalog; logs and counts the reason."""
--- a/packages/godwitway/src/godwitway/steering/_catalog.py
+++ b/packages/godwitway/src/godwitway/steering/_catalog.py
@@ -4,10 +4,10 @@
 
 from godwitway.steering._model import FleetConfig, Route, Target
 
-__all__ = ["Catalog", "route_token"]
+__all__ = ["MAX_FLOW_LIFETIME_S", "Catalog", "route_token"]
 
-# The platform limits the lifetime of a flow to this; later no packet carries the target's token.
-DEPARTED_RETENTION_S = 60.0
+MAX_FLOW_LIFETIME_S = 60.0  # The platform's limit.
+DEPARTED_RETENTION_S = MAX_FLOW_LIFETIME_S  # Later no packet carries the target's token.
 # The attributes of a target that each announcement replaces; `id` and `token` stay.
 ANNOUNCED_FIELDS = (
     "service",
@@ -15,6 +15,7 @@
     "zone",
     "slots",
     "draining",
+    "has_lapsed",
     "cold_until",
     "started_ms",
     "envelope",
@@ -43,7 +44,8 @@
         routes: Routes by packed address and port.
         targets: The current targets by id.
         by_token: Targets by route token, including those that left recently.
-        by_service: The current targets of each service, by service name.
+        by_service: The current targets of each service, by service name, without those whose
+            entries have lapsed.
         departed_at: When each recently removed target left, by id, in seconds.
         allowed_services: The services that each current route has led to since this process added
             the route, by packed address and port. Open flows stay at the targets of an earlier
@@ -95,7 +97,7 @@
         if target is None:
             target = self.restore_or_register(announced)
             self.targets[target.id] = target
-        else:
+        elif not target.has_lapsed:
             self.by_service[target.service].remove(target)
         for field in ANNOUNCED_FIELDS:
             setattr(target, field, getattr(announced, field))
@@ -123,6 +125,12 @@
                 return token
             attempt += 1
 
+    def lapse_target(self, target: Target) -> None:
+        """Choose a target for no new flows, and keep it for its open ones."""
+        target.draining = target.has_lapsed = True
+        self.by_service[target.service].remove(target)
+        self.generation += 1
+
     def remove_target(self, target_id: str, now: float) -> Target | None:
         """Remove a target, and keep its token for `DEPARTED_RETENTION_S`.
 
@@ -134,7 +142,8 @@
         """
         target = self.targets.pop(target_id, None)
         if target is not None:
-            self.by_service[target.service].remove(target)
+            if not target.has_lapsed:
+                self.by_service[target.service].remove(target)
             self.departed_at[target_id] = now
             self.generation += 1
         return target
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -241,14 +241,15 @@
     def expire_state(self) -> None:
         """Remove expired flows, targets and peers, and update the gauges of `packet_io`.
 
-        Targets are removed whose entries were not written again in time. Called several times a
-        second.
+        Targets whose entries were not written again in time get no new flows, and are removed once
+        they do not answer. Called several times a second.
         """
         now = self.now()
         self.remove_departed_targets(now)
         if self.catalog.config is not None:
             self.steering.flow_table.expire_flows(now, self.catalog.config.idle_timeout_s)
-        self.announcements.remove_lapsed_targets()
+        self.announcements.lapse_targets()
+        self.announcements.remove_lapsed_targets(lambda target: self.steering.is_dead(target, now))
         self.peers.remove_silent_peers(now)
         packet_io = self.steering.packet_io
         self.metrics.gauges["datagrams_unreadable"] = packet_io.unreadable
--- a/packages/godwitway/src/godwitway/steering/_model.py
+++ b/packages/godwitway/src/godwitway/steering/_model.py
@@ -114,6 +114,8 @@
         zone: Its availability zone.
         slots: The number of requests that it processes concurrently.
         draining: Whether it accepts no new flows.
+        has_lapsed: Whether its entry went without notice and was not written again in time. It may
+            still serve open flows.
         cold_until: When its warm-up ends, in seconds of this process's clock.
         started_ms: When it started, in Unix milliseconds; identifies the incarnation.
         envelope: The bytes to prepend to each packet that is forwarded to it.
@@ -126,6 +128,7 @@
         "cold_until",
         "draining",
         "envelope",
+        "has_lapsed",
         "id",
         "service",
         "slots",
@@ -154,6 +157,7 @@
         self.zone = zone
         self.slots = slots
         self.draining = draining
+        self.has_lapsed = False
         self.cold_until = cold_until
         self.started_ms = started_ms
         self.envelope = envelope
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -40,6 +40,8 @@
 MIN_RETRANSMISSION_S = 0.15
 # The platform reports a host as slow once packets wait 0.5 s for its link; this is twice as long.
 IMPAIRMENT_VALID_S = 1.0
+# By then, packets of other callers show whether a target whose entry has lapsed still answers.
+LAPSED_SILENCE_S = 1.0
 NO_ADDRESS = ("", 0)  # Stands for the host's own address until its peers are set up.
 
 
@@ -417,14 +419,22 @@
         """Whether to reset a flow so that its caller sends the request to another target.
 
         Flows whose requests callers must not repeat are never reset because a target is
-        unreachable, nor is any flow while this host is impaired.
+        unreachable, nor is any flow while this host is impaired. If the target's entry has lapsed
+        as well, a single retransmission is enough.
         """
         if flow.route.kind is RequestKind.AT_MOST_ONCE or flow.is_closed:
             return False
-        evidence = self.evidence.get(flow.target.id)
-        if evidence is None or not evidence.is_unreachable(now):
+        if self.is_dead(flow.target, now):
+            return True
+        if not (flow.target.has_lapsed and flow.stall_count):
             return False
-        return not self.is_impaired(now)
+        last_progress_at = self.evidence_of(flow.target).last_progress_at
+        return now - last_progress_at > LAPSED_SILENCE_S and not self.is_impaired(now)
+
+    def is_dead(self, target: Target, now: float) -> bool:
+        """Whether a target does not answer, by evidence that is enough to reset its flows."""
+        evidence = self.evidence.get(target.id)
+        return evidence is not None and evidence.is_unreachable(now) and not self.is_impaired(now)
 
     def is_impaired(self, now: float) -> bool:
         """Whether this host was unable to judge targets within the last `IMPAIRMENT_VALID_S`."""
--- a/packages/godwitway/tests/steering/test_steering.py
+++ b/packages/godwitway/tests/steering/test_steering.py
@@ -151,6 +151,41 @@
         assert not harness.packet_io.resets
 
 
+class TestLapsedTargets:
+    """Open flows of targets whose entries went and were not written again."""
+
+    def test_a_flow_of_a_target_that_answers_is_not_reset(self):
+        """A packet may be lost on the way to it."""
+        harness = SteeringHarness(build_target(1))
+        target = harness.open_flow(b"f1")
+        harness.steering.catalog.lapse_target(target)
+        harness.send_request(b"f1", target, after_s=5.0)
+        harness.receive_packet(0.1, flow=b"f1", token=target.token, sequence=101, acknowledged=500)
+        harness.send_request(b"f1", target, after_s=0.5, sequence=101, acknowledged=500)
+        harness.send_request(b"f1", target, after_s=0.2, sequence=101, acknowledged=500)
+        assert not harness.packet_io.resets
+        assert harness.packet_io.forwarded[-1][1] is target
+
+    def test_a_flow_of_a_silent_target_is_reset_at_its_first_retransmission(self):
+        """Its caller can try another target in time."""
+        harness = SteeringHarness(build_target(1))
+        target = harness.open_flow(b"f1")
+        harness.steering.catalog.lapse_target(target)
+        harness.send_request(b"f1", target, after_s=5.0)
+        assert not harness.packet_io.resets
+        harness.send_request(b"f1", target, after_s=0.2)
+        assert len(harness.packet_io.resets) == 1
+
+    def test_a_flow_whose_request_must_not_be_repeated_is_not_reset(self):
+        """The request may be running."""
+        harness = SteeringHarness(build_target(1))
+        target = harness.open_flow(b"f1", to=BID)
+        harness.steering.catalog.lapse_target(target)
+        harness.send_request(b"f1", target, to=BID, after_s=5.0)
+        harness.send_request(b"f1", target, to=BID, after_s=0.2)
+        assert not harness.packet_io.resets
+
+
 class TestPortReuse:
     """A caller that uses the ports of an earlier flow again, and delayed packets of that flow."""
 
