Ignore restored entries of targets whose entries had expired

Callers would get new flows to a target that has crashed: its entry had expired, the restored store has it again, and a host accepted it while it still held the target for the entry's return, because the number of its last update is not lower than the known one. Only targets that had been removed needed a later update; now all do whose entries were gone at the restore.

Both cases of the new test fail on the code before.

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -63,8 +63,11 @@
     def begin_restored_era(self, position: StorePosition) -> None:
         """Remember what is known before the entries of a restored store are applied."""
         self.restored_revision = position.revision
-        catalog = self.catalog
-        self.known_updates.remember(catalog.targets.values(), catalog.departed_targets())
+        present, missing = [], self.catalog.departed_targets()
+        for target in self.catalog.targets.values():
+            had_entry = target.id not in self.held_until and not target.has_lapsed
+            (present if had_entry else missing).append(target)
+        self.known_updates.remember(present, missing)
 
     def apply_config_entry(self, key: str, value: bytes | None, revision: int) -> None:
         """Apply a change of the configuration's entry.
--- a/packages/godwitway/src/godwitway/steering/_known_updates.py
+++ b/packages/godwitway/src/godwitway/steering/_known_updates.py
@@ -23,16 +23,16 @@
     def __init__(self) -> None:
         self.next_updates: dict[str, tuple[int, int]] = {}
 
-    def remember(self, current: Iterable[Target], departed: Iterable[Target]) -> None:
+    def remember(self, present: Iterable[Target], missing: Iterable[Target]) -> None:
         """Replace what is known by the state at a restore.
 
         Args:
-            current: The targets in the catalog; their last update may be repeated.
-            departed: The targets that have left; only a later update brings one back.
+            present: The targets whose entries existed; their last update may be repeated.
+            missing: The targets whose entries were gone; only a later update brings one back.
         """
         self.next_updates = {
-            target.id: (target.started_ms, target.update_number) for target in current
-        } | {target.id: (target.started_ms, target.update_number + 1) for target in departed}
+            target.id: (target.started_ms, target.update_number) for target in present
+        } | {target.id: (target.started_ms, target.update_number + 1) for target in missing}
 
     def is_outdated(self, announced: Target) -> bool:
         """Whether a later update of the same incarnation was applied before the restore."""
--- a/packages/godwitway/tests/steering/test_announcements.py
+++ b/packages/godwitway/tests/steering/test_announcements.py
@@ -205,6 +205,18 @@
         harness.change_entry(b"draining 1 9", revision=3)
         assert not harness.catalog.targets
 
+    @pytest.mark.parametrize("held_s", [0.0, ENTRY_HOLD_S])
+    def test_a_target_whose_entry_had_expired_gets_no_new_flows_by_its_restored_entry(self, held_s):
+        """It has probably ended, and the store drops the entry again."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready 1 9")
+        harness.change_entry(None)
+        harness.wait(held_s)
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"ready 1 9", revision=3)
+        harness.wait(ENTRY_HOLD_S)
+        assert not harness.catalog.by_service["desk"]
+
     @pytest.mark.parametrize("value", [b"ready 1 9", b"ready 1 10", b"ready 2 1"])
     def test_a_repeated_a_later_and_another_incarnations_entry_are_applied(self, value):
         """Targets write again what the store has lost, and may have restarted meanwhile."""
