Apply an outdated entry that a restored store keeps

A live target could be without new flows for good: its entry expired while the target was cut off from the store, the hosts saw that, and the store was then restored from a copy that has the entry. The target reaches the store again, but has no reason to write: an entry changes when more than its number does. The hosts went on to ignore it as outdated.

An outdated entry is now applied if it is still there after 10 s.

The new test fails on the code before, with one restore and with two.

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -14,6 +14,9 @@
 # Entries that lapsed during an outage of the store are written again within about two seconds of
 # its return.
 ENTRY_HOLD_S = 2.2
+# The store drops the entry of a target that has ended after about 5 s without updates. An outdated
+# entry that is still there after twice this time belongs to a live target.
+OUTDATED_HOLD_S = 10.0
 
 
 class EntryError(ValueError):
@@ -31,6 +34,8 @@
         lapsed_until: For each target whose entry was not written again in time, by id, when it can
             have no open flow any more, in seconds.
         known_updates: Recognizes entries that are older than what was applied before a restore.
+        outdated_entries: The value, the revision, and the time at which it is applied in spite of
+            its age, in seconds, of each outdated entry that was not written again, by key.
         restored_revision: The revision of the listing that showed that the store was restored; keys
             that are missing there were not deleted but lost. 0 before the first restore.
         target_id_by_key: The id of the target that each key of the store last described.
@@ -56,6 +61,7 @@
         self.held_until: dict[str, float] = {}
         self.lapsed_until: dict[str, float] = {}
         self.known_updates = KnownUpdates()
+        self.outdated_entries: dict[str, tuple[bytes, int, float]] = {}
         self.restored_revision = 0
         self.target_id_by_key: dict[str, str] = {}
         self.on_target_restart: Callable[[str], None] = lambda target_id: None
@@ -113,6 +119,7 @@
             value: The new value, or None if the entry was deleted.
             revision: The revision of the store at which it changed.
         """
+        self.outdated_entries.pop(key, None)
         if value is None:
             self.handle_deleted_entry(key, revision)
             return
@@ -126,6 +133,7 @@
         if self.known_updates.is_outdated(target):
             self.metrics.count("entries_outdated")
             self.journal.event("entry_outdated", target=target.id, revision=revision)
+            self.outdated_entries[key] = (value, revision, now + OUTDATED_HOLD_S)
             return
         self.known_updates.forget(target.id)
         self.held_until.pop(target.id, None)
@@ -174,6 +182,18 @@
             self.held_until[target_id] = self.now() + ENTRY_HOLD_S
             self.journal.event("target_vanished", target=target_id, revision=revision)
 
+    def apply_outdated_entries(self) -> None:
+        """Apply outdated entries that the store still has after `OUTDATED_HOLD_S`.
+
+        A live target does not write its entry again if the store has it with the same content.
+        """
+        now = self.now()
+        due = [key for key, (_, _, at) in self.outdated_entries.items() if at <= now]
+        for key in due:
+            value, revision, _ = self.outdated_entries[key]
+            self.known_updates.forget(self.target_id_by_key[key])
+            self.apply_target_entry(key, value, revision)
+
     def lapse_targets(self) -> None:
         """Send no new flows to the targets whose entries were not written again in time."""
         now = self.now()
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -248,6 +248,7 @@
         self.remove_departed_targets(now)
         if self.catalog.config is not None:
             self.steering.flow_table.expire_flows(now, self.catalog.config.idle_timeout_s)
+        self.announcements.apply_outdated_entries()
         self.announcements.lapse_targets()
         self.announcements.remove_lapsed_targets(lambda target: self.steering.is_dead(target, now))
         self.peers.remove_silent_peers(now)
--- a/packages/godwitway/tests/steering/test_announcements.py
+++ b/packages/godwitway/tests/steering/test_announcements.py
@@ -6,7 +6,7 @@
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
 from godwitway.steering import EntryError
-from godwitway.steering._announcements import ENTRY_HOLD_S, Announcements
+from godwitway.steering._announcements import ENTRY_HOLD_S, OUTDATED_HOLD_S, Announcements
 from godwitway.steering._catalog import MAX_FLOW_LIFETIME_S, Catalog
 
 
@@ -57,6 +57,7 @@
     def wait(self, seconds: float, dead: bool = False) -> None:
         """Let time pass, after which targets do not answer if they are `dead`."""
         self.clock.time += seconds
+        self.announcements.apply_outdated_entries()
         self.announcements.lapse_targets()
         self.announcements.remove_lapsed_targets(lambda target: dead)
 
@@ -217,6 +218,33 @@
         harness.wait(ENTRY_HOLD_S)
         assert not harness.catalog.by_service["desk"]
 
+    @pytest.mark.parametrize("restores", [1, 2])
+    def test_a_live_target_is_not_kept_out_by_an_older_entry_that_the_store_keeps(self, restores):
+        """It writes its entry again only if the store has it with other content."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready 1 9")
+        harness.change_entry(None)
+        harness.wait(ENTRY_HOLD_S)
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"ready 1 9", revision=3)
+        if restores == 2:
+            harness.announcements.begin_restored_era(at(4, era=3))
+        harness.wait(OUTDATED_HOLD_S - 0.1)
+        assert not harness.catalog.by_service["desk"]
+        harness.wait(0.1)
+        assert [target.draining for target in harness.catalog.by_service["desk"]] == [False]
+
+    def test_an_older_entry_that_the_store_drops_is_not_applied(self):
+        """Its target has ended."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"draining 1 9")
+        harness.change_entry(None)
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"ready 1 7", revision=3)
+        harness.change_entry(None, revision=5)
+        harness.wait(OUTDATED_HOLD_S)
+        assert not harness.catalog.targets
+
     @pytest.mark.parametrize("value", [b"ready 1 9", b"ready 1 10", b"ready 2 1"])
     def test_a_repeated_a_later_and_another_incarnations_entry_are_applied(self, value):
         """Targets write again what the store has lost, and may have restarted meanwhile."""
