Number revisions on when the store of the own face is restored from a copy

Operators' changes were accepted and never came into force: hosts order the configuration, the platform's host list and services' versions by the store's revision, and a restored store gives revisions out again. A read with a lower revision was logged (`store_went_back`) and ignored, and so was every change until the store had passed the highest revision that hosts had seen. A write that expected a version of lost content was accepted if the store had given the version out again.

This store names no era. A call that is answered with a lower revision than was known when it began shows the restore. The host that sees it first raises an offset in the store by a compare-and-swap; all hosts add it to the store's revisions, in one wrapper around the client. A full read compares documents too, since equal versions may stand for other content.

The stand-in store can be copied and restored. What is not noticed: a store that has given out all known revisions again before a host calls it.

--- a/packages/godwitway-standins/src/godwitway_standins/_store.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_store.py
@@ -20,7 +20,7 @@
     WatchEvent,
 )
 
-__all__ = ["MemoryStore", "StoreFaults"]
+__all__ = ["MemoryStore", "StoreCopy", "StoreFaults"]
 
 MAX_VALUE_BYTES = 1024 * 1024
 WRITES_PER_S = 400
@@ -47,6 +47,16 @@
     lose_writes: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of the store at one moment, from which it can be restored."""
+
+    revision: int
+    data: dict[str, KeyValue]
+    leases: dict[int, float]
+    lease_keys: dict[int, set[str]]
+
+
 class RateLimit:
     """Counts calls in each second."""
 
@@ -74,6 +84,7 @@
         data: The keys with their values.
         history: The changes that watches may still ask for.
         compacted: The revision up to which changes are gone.
+        restores: How often the store was restored from a copy.
         faults: What is wrong now.
         calls: How many calls came, by name.
     """
@@ -85,6 +96,7 @@
         self.data: dict[str, KeyValue] = {}
         self.history: list[WatchEvent] = []
         self.compacted = 0
+        self.restores = 0
         self.faults = StoreFaults()
         self.calls: dict[str, int] = {}
         self.leases: dict[int, float] = {}
@@ -203,6 +215,23 @@
         for watcher in self.watchers:
             watcher.set()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        lease_keys = {lease: set(keys) for lease, keys in self.lease_keys.items()}
+        return StoreCopy(self.revision, dict(self.data), dict(self.leases), lease_keys)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose everything that was written since a copy; this ends all watches."""
+        self.revision = copy.revision
+        self.data = dict(copy.data)
+        self.leases = dict(copy.leases)
+        self.lease_keys = {lease: set(keys) for lease, keys in copy.lease_keys.items()}
+        self.history.clear()
+        self.compacted = copy.revision
+        self.restores += 1
+        for watcher in self.watchers:
+            watcher.set()
+
     async def watch(self, prefix: str, revision: int) -> AsyncIterator[list[WatchEvent]]:
         """Yield the changes under a prefix from a revision on."""
         await self.admit("watch", self.reads)
@@ -210,10 +239,10 @@
             raise CompactedError("watch: compacted")
         arrived = asyncio.Event()
         self.watchers[arrived] = None
-        following = revision
+        following, restores = revision, self.restores
         try:
             while True:
-                if self.faults.down:
+                if self.faults.down or self.restores != restores:
                     raise StoreError("watch: the connection broke")
                 if following <= self.compacted and following <= self.revision:
                     raise CompactedError("watch: compacted")
--- a/packages/godwitway-standins/tests/test_config.py
+++ b/packages/godwitway-standins/tests/test_config.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from godwitway.errors import ErrorKind
-from godwitway.process import REVISION_MARKER_KEY, SERVICES_PREFIX
+from godwitway.process import HOSTS_PREFIX, REVISION_MARKER_KEY, SERVICES_PREFIX
 from godwitway.process._messages import ConfigDelta, ServiceChange
 from godwitway.version import check_service
 from worlds import counted, events, hosts, in_world, revisions
@@ -14,11 +14,15 @@
 
 def changed_service(world, name="live-auction", bound=0.2):
     """Return a service with another load bound, and its document."""
-    raw = msgspec.json.decode(msgspec.json.encode(world.documents[name]))
-    raw["load_bound"] = bound
+    raw = changed_document(world, name, bound)
     return check_service(raw).unwrap(), msgspec.json.encode(raw)
 
 
+def changed_document(world, name="live-auction", bound=0.2):
+    """Return the document of a service with another load bound."""
+    return msgspec.json.decode(msgspec.json.encode(world.documents[name])) | {"load_bound": bound}
+
+
 def version_of(world, name="live-auction"):
     """Return the resource version of a service in the store."""
     return world.store.data[SERVICES_PREFIX + name].mod_revision
@@ -193,7 +197,7 @@
             revision = host.node.snapshot.revision
             old = ConfigDelta(b"", b"", 0, revision - 1, [ServiceChange("live-auction", None, 1)])
             assert not host.config_sync.apply_delta(old)
-            await host.config_sync.apply_full_read([], store_revision=1)
+            await host.config_sync.apply_full_read([])
             assert host.node.snapshot.revision == revision
             assert "live-auction" in host.node.snapshot.services
 
@@ -261,3 +265,110 @@
             assert counted(world, "internal_errors") == 0
 
         in_world(job)
+
+
+class TestRestoredStore:
+    """Tests of a store that was restored from a copy and gives revisions out again."""
+
+    def test_a_change_with_a_revision_that_is_given_out_again_comes_into_force(self):
+        """Hosts order changes by revision, and would ignore it as one that they have."""
+
+        async def job(world):
+            await lose_changes(world)
+            writer = hosts(world)[0].host.service_writer
+            version = (await writer.read_with_claims("live-auction", {})).popitem()[1].mod_revision
+            outcome = await writer.put(*changed_service(world, bound=0.4), version)
+            accepted = outcome.unwrap().revision
+            await world.clock.sleep(IN_FORCE_S)
+            assert len(revisions(world)) == 1
+            assert min(revisions(world)) >= accepted
+            assert load_bounds(world) == {0.4}
+
+        in_world(job)
+
+    def test_what_the_store_has_lost_is_not_in_force_any_more(self):
+        """Otherwise hosts that start later would differ from the others."""
+
+        async def job(world):
+            before = load_bounds(world)
+            newest = await lose_changes(world)
+            await world.clock.sleep(IN_FORCE_S)
+            assert load_bounds(world) == before
+            assert min(revisions(world)) > newest
+            assert events(world, "store_went_back")
+
+        in_world(job)
+
+    def test_a_second_restore_from_before_the_first_one_is_followed(self):
+        """The offset of the revisions is lost as well."""
+
+        async def job(world):
+            copy = world.store.copy()
+            for bound in (0.3, 0.4):
+                await lose_changes(world, copy)
+                await world.clock.sleep(IN_FORCE_S)
+                writer = hosts(world)[0].host.service_writer
+                writer.lease = 0  # The restored store may lack it; the next write would fail.
+                stored = await writer.read_with_claims("live-auction", {})
+                version = stored.popitem()[1].mod_revision
+                assert (await writer.put(*changed_service(world, bound=bound), version)).is_ok()
+                await world.clock.sleep(IN_FORCE_S)
+                assert load_bounds(world) == {bound}
+
+        in_world(job)
+
+    def test_a_write_that_expects_a_version_of_lost_content_is_rejected(self):
+        """The store has given the version out again, for content that the writer has not seen."""
+
+        async def job(world):
+            writer = hosts(world)[0].host.service_writer
+            copy = world.store.copy()
+            seen = (await writer.put(*changed_service(world), version_of(world))).unwrap().revision
+            world.store.restore(copy)
+            await world.clock.sleep(IN_FORCE_S)
+            world.store.revision = seen - 1
+            world.write(changed_document(world, bound=0.5))
+            writer.lease = 0  # The restored store lacks it; the write would fail for that reason.
+            outcome = await writer.put(*changed_service(world, bound=0.6), seen)
+            assert outcome.unwrap_err().kind == ErrorKind.CONFLICT
+
+        in_world(job)
+
+    def test_a_host_that_the_platform_drains_after_the_restore_drains(self):
+        """Entries of the platform's host list are ordered by revision as well."""
+
+        async def job(world):
+            await world.clock.sleep(1.0)
+            await lose_changes(world)
+            await world.clock.sleep(IN_FORCE_S)
+            ip = "10.9.9.9"
+            world.store.put_now(HOSTS_PREFIX + ip, b"drain")
+            await world.clock.sleep(IN_FORCE_S)
+            states = [entry.host.node.platform_host_states[ip][0] for entry in hosts(world)]
+            assert set(states) == {"drain"}
+
+        in_world(job)
+
+
+async def lose_changes(world, copy=None, changes=3):
+    """Change a service several times, and restore the store from a copy from before.
+
+    Returns:
+        The last revision that is in force and lost.
+    """
+    copy = copy or world.store.copy()
+    for number in range(changes):
+        world.store.put_now(HOSTS_PREFIX + "10.9.9.9", b"serve")
+        revision = world.write(changed_document(world, bound=0.7 + number / 10))
+    await world.clock.sleep(IN_FORCE_S)
+    assert max(revisions(world)) >= revision
+    world.store.restore(copy)
+    return max(revisions(world))
+
+
+def load_bounds(world):
+    """Return the load bounds of a service that are in force."""
+    return {
+        msgspec.json.decode(entry.host.node.snapshot.documents["live-auction"]).get("load_bound")
+        for entry in hosts(world)
+    }
--- a/packages/godwitway/src/godwitway/process/_config.py
+++ b/packages/godwitway/src/godwitway/process/_config.py
@@ -23,15 +23,13 @@
 )
 from godwitway.process._node import Node
 from godwitway.process._ownership import Ownership
-from godwitway.process._store import Store
+from godwitway.process._renumbering import CONFIG_PREFIX, REVISION_MARKER_KEY, RenumberedStore
 from godwitway.store import CompactedError, KeyValue, StoreError, WatchEvent
 from godwitway.version import build_snapshot, hash_seed
 
 __all__ = ["CONFIG_PREFIX", "HOSTS_PREFIX", "REVISION_MARKER_KEY", "SERVICES_PREFIX", "ConfigSync"]
 
-CONFIG_PREFIX = "/godwitway/config/"
 SERVICES_PREFIX = CONFIG_PREFIX + "services/"
-REVISION_MARKER_KEY = CONFIG_PREFIX + "marker"
 HOSTS_PREFIX = "/platform/hosts/"
 RELAY_FANOUT = 8
 HISTORY_DELTAS = 512
@@ -77,7 +75,9 @@
         "store",
     )
 
-    def __init__(self, node: Node, ownership: Ownership, control: Control, store: Store) -> None:
+    def __init__(
+        self, node: Node, ownership: Ownership, control: Control, store: RenumberedStore
+    ) -> None:
         self.node = node
         self.ownership = ownership
         self.control = control
@@ -161,9 +161,10 @@
 
     async def watch_store(self) -> None:
         """Read the store, then follow its watches until one fails or this host is no watcher."""
+        self.store.note_revision(self.newest_known_revision())
         services = await self.store.range(CONFIG_PREFIX)
         hosts = await self.store.range(HOSTS_PREFIX)
-        await self.apply_full_read(services.items, services.revision)
+        await self.apply_full_read(services.items)
         await self.apply_platform_hosts(hosts.items, full=True)
         self.is_watching = True
         tasks = [
@@ -180,6 +181,13 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def newest_known_revision(self) -> int:
+        """Return the highest revision of the store that any known host has learned of."""
+        node = self.node
+        members = [member.revision for member in node.members.values()]
+        platform_hosts = [version for _, version in node.platform_host_states.values()]
+        return max([node.snapshot.revision, *members, *platform_hosts])
+
     async def wait_until_replaced(self) -> None:
         """Return when this host is no longer one of the watchers of its zone."""
         while self.is_watcher():
@@ -202,18 +210,15 @@
                 ]
             )
 
-    async def apply_full_read(self, items: list[KeyValue], store_revision: int) -> None:
+    async def apply_full_read(self, items: list[KeyValue]) -> None:
         """Apply a full read of the configuration.
 
-        A read that is not newer than the configuration in force is ignored; when the store itself
-        has an older revision, an event is logged.
+        A read that is not newer than the configuration in force is ignored.
         """
         current = self.node.snapshot
         marker = next((item for item in items if item.key == REVISION_MARKER_KEY), None)
         revision = marker.mod_revision if marker else 0
         if revision <= current.revision:
-            if store_revision < current.revision:
-                self.node.journal.event("store_went_back", store=store_revision)
             return
         services = {
             item.key.removeprefix(SERVICES_PREFIX): item
@@ -224,6 +229,7 @@
             ServiceChange(name, item.value, item.mod_revision)
             for name, item in services.items()
             if current.resource_versions.get(name) != item.mod_revision
+            or current.documents[name] != item.value
         ]
         gone = [
             ServiceChange(name, None, revision)
--- a/packages/godwitway/src/godwitway/process/_host.py
+++ b/packages/godwitway/src/godwitway/process/_host.py
@@ -34,6 +34,7 @@
 from godwitway.process._node import Node
 from godwitway.process._ownership import Ownership
 from godwitway.process._ports import DatagramPort
+from godwitway.process._renumbering import RenumberedStore
 from godwitway.process._reports import HealthClient, TargetMonitor
 from godwitway.process._router import Router
 from godwitway.process._settings import Settings
@@ -118,7 +119,8 @@
         self.ingress = Ingress(self.node, self.flows, self.router, answers)
         self.ownership = Ownership(self.node, self.flows, self.router)
         self.control = Control(self.node)
-        self.config_sync = ConfigSync(self.node, self.ownership, self.control, dependencies.store)
+        store = RenumberedStore(dependencies.store, self.node.journal)
+        self.config_sync = ConfigSync(self.node, self.ownership, self.control, store)
         self.membership = Membership(
             self.node,
             self.ownership.handle_member_joined,
@@ -127,7 +129,7 @@
         )
         self.handover = Handover(self.node, self.flows, self.ownership, self.control)
         self.target_monitor = TargetMonitor(self.node, self.flows, dependencies.health_client)
-        self.service_writer = ServiceWriter(dependencies.store, clock)
+        self.service_writer = ServiceWriter(store, clock)
         self.tasks: list[asyncio.Task[None]] = []
         self.stopped = asyncio.Event()
         self.failure: BaseException | None = None
