Restore the store from a copy in the soak

The store is now copied every second, and restored from one of the last twelve copies every 9 s on average, beside the other faults. Operator and targets write again what it has lost, each within two seconds. The restores are planned by a generator of their own, so the other faults of a seed stay the same.

--- a/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
@@ -7,11 +7,12 @@
 import signal
 import subprocess
 import sys
+from collections import deque
 from pathlib import Path
 
 from godwitway_standins.flows._caller import Caller, RequestType
 from godwitway_standins.flows._judge import Judge
-from godwitway_standins.flows._metadata import MetadataServer
+from godwitway_standins.flows._metadata import MetadataServer, StoreCopy
 from godwitway_standins.flows._proxy import TcpProxy
 from godwitway_standins.flows._router import RoutedHost, Router
 from godwitway_standins.flows._target import FlowTarget
@@ -26,6 +27,9 @@
 SERVICE_PORT = 443
 STOP_BOUND_S = 6
 TICK_S = 0.01
+COPY_INTERVAL_S = 1.0
+MAX_COPIES = 12
+WRITE_AGAIN_S = 2.0  # Until operator and targets have repeated what the store has lost.
 PAUSE_S = 0.3
 KINDS = {
     "board": RequestType("board", True, True, 0, 4_000, 1.5),
@@ -150,6 +154,8 @@
         router: The platform's routers.
         hosts: All hosts.
         targets: All targets that have been.
+        copies: Copies of the store from the last seconds, the oldest first.
+        config_value: The newest configuration that the store acknowledged.
     """
 
     def __init__(self, layout: Layout, folder: Path, seed: int) -> None:
@@ -168,6 +174,8 @@
         self.extra_routes = 0
         self.numbers = 0
         self.asking = True
+        self.copies: deque[StoreCopy] = deque(maxlen=MAX_COPIES)
+        self.config_value = b""
 
     async def start(self) -> None:
         """Start everything but the callers' requests."""
@@ -183,7 +191,10 @@
         for index, zone in enumerate(layout.zones):
             for number in range(layout.callers):
                 self.add_caller(zone, index * layout.callers + number)
-        self.tasks += [asyncio.ensure_future(job) for job in (self.router.run(), self.tick())]
+        self.tasks += [
+            asyncio.ensure_future(job)
+            for job in (self.router.run(), self.tick(), self.copy_store())
+        ]
 
     async def start_hosts(self) -> None:
         """Start the hosts' programs and wait until all are ready."""
@@ -275,9 +286,32 @@
             ],
             "limits": {"idle-timeout-ms": 15_000},
         }
-        self.store.put("op/config", json.dumps(document).encode())
+        self.config_value = json.dumps(document).encode()
+        self.store.put("op/config", self.config_value)
         self.judge.configured({address: service for address, (_, service) in routes.items()})
 
+    async def copy_store(self) -> None:
+        """Copy the store every `COPY_INTERVAL_S`."""
+        while True:
+            self.copies.append(self.store.copy())
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def write_again(self) -> None:
+        """Let operator and targets write again what a restored store may have lost.
+
+        Each does so once, at a random time within `WRITE_AGAIN_S`.
+        """
+        started_at = asyncio.get_running_loop().time()
+        writers = [None, *self.targets]
+        delays_s = sorted(self.rng.uniform(0.0, WRITE_AGAIN_S) for _ in writers)
+        self.rng.shuffle(writers)
+        for writer, delay_s in zip(writers, delays_s, strict=True):
+            await asyncio.sleep(started_at + delay_s - asyncio.get_running_loop().time())
+            if writer is None:
+                self.store.put("op/config", self.config_value)
+            elif writer.alive:
+                self.announce(writer)
+
     def add_caller(self, zone: str, number: int) -> None:
         """Add a caller."""
         caller = Caller(
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_faults.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from godwitway_standins.flows import FlowTarget, FlowWorld, HostProcess
-from godwitway_standins.soak._plan import Fault
+from godwitway_standins.soak._plan import RESTORE_KIND, Fault
 
 __all__ = ["FaultInjector"]
 
@@ -51,7 +51,9 @@
     async def inject(self, fault: Fault) -> None:
         """Inject one fault and wait until it is over."""
         store_kinds = ("store_busy", "store_reset", "store_silent", "store_slow", "store_lost")
-        if fault.kind in store_kinds:
+        if fault.kind == RESTORE_KIND:
+            await self.restore_store(fault)
+        elif fault.kind in store_kinds:
             await self.inject_store_fault(fault)
         elif fault.kind.startswith("host_store_"):
             await self.inject_proxy_fault(fault, fault.kind.removeprefix("host_store_"))
@@ -155,6 +157,25 @@
         faults.delay_s, faults.lose_writes, faults.down = 0.0, False, ""
         self.judge.disturb("store")
 
+    async def restore_store(self, fault: Fault) -> None:
+        """Make the store unavailable, then restore it from one of its copies.
+
+        Operator and targets write again what it has lost, each after a while; see
+        `FlowWorld.write_again`. The entries of targets that have ended expire.
+        """
+        store = self.world.store
+        self.judge.disturb("store", until=self.judge.now() + fault.duration_s)
+        store.faults.down = "reset"
+        await asyncio.sleep(fault.duration_s)
+        store.restore(self.world.copies[int(fault.selector * len(self.world.copies))])
+        store.faults.down = ""
+        self.judge.disturb("store")
+        await self.world.write_again()
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        for target in self.world.targets:
+            if not target.alive:
+                store.delete(f"servers/{target.name}")
+
     async def inject_proxy_fault(self, fault: Fault, mode: str) -> None:
         """Disturb one host's connections to the store.
 
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_plan.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_plan.py
@@ -3,13 +3,16 @@
 import random
 from dataclasses import dataclass
 
-__all__ = ["FAULT_KINDS", "Fault", "make_plan"]
+__all__ = ["FAULT_KINDS", "RESTORE_KIND", "Fault", "make_plan"]
 
 FIRST_FAULT_S = 1.0
 MEAN_INTERVAL_S = 1.6
 SIMULTANEOUS_PROBABILITY = 0.25  # Probability that a fault starts together with the previous one.
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 5.0
+RESTORE_KIND = "store_restore"  # The store is away, and comes back from a copy.
+MEAN_RESTORE_INTERVAL_S = 9.0
+MAX_RESTORE_OUTAGE_S = 2.0
 
 # Relative frequency of each kind. `store_*` kinds other than `store_compact` are injected by
 # `FaultInjector.inject_store_fault`, `host_store_*` kinds by `inject_proxy_fault`; any other kind
@@ -47,7 +50,7 @@
 
     Attributes:
         start_s: Start time, in seconds after the callers start.
-        kind: One of `FAULT_KINDS`.
+        kind: One of `FAULT_KINDS`, or `RESTORE_KIND`.
         duration_s: Duration in seconds; used by `pause_host`, `cut_zone`, `host_store_*` and
             `store_*` other than `store_compact`. The other kinds ignore it.
         selector: Number in [0, 1) that selects the affected host, target, zone or value.
@@ -79,4 +82,19 @@
         plan.append(Fault(start_s, kind, rng.uniform(MIN_DURATION_S, MAX_DURATION_S), rng.random()))
         if rng.random() > SIMULTANEOUS_PROBABILITY:
             start_s += rng.expovariate(1 / MEAN_INTERVAL_S)
-    return plan
+    return sorted(plan + plan_restores(seed, fault_period_s), key=lambda fault: fault.start_s)
+
+
+def plan_restores(seed: int, fault_period_s: float) -> list[Fault]:
+    """Return the restores of the store in a run; see `make_plan`.
+
+    They have a random generator of their own, so that the other faults of a seed stay the same.
+    """
+    rng = random.Random(f"{RESTORE_KIND} {seed}")
+    restores: list[Fault] = []
+    start_s = FIRST_FAULT_S + rng.expovariate(1 / MEAN_RESTORE_INTERVAL_S)
+    while start_s < fault_period_s:
+        outage_s = rng.uniform(0.0, MAX_RESTORE_OUTAGE_S)
+        restores.append(Fault(start_s, RESTORE_KIND, outage_s, rng.random()))
+        start_s += rng.expovariate(1 / MEAN_RESTORE_INTERVAL_S)
+    return restores
--- a/packages/godwitway-standins/tests/test_soak.py
+++ b/packages/godwitway-standins/tests/test_soak.py
@@ -11,6 +11,7 @@
 from godwitway_standins.flows._world import Layout
 from godwitway_standins.soak import FAULT_KINDS, make_plan, run_soak
 from godwitway_standins.soak._faults import FaultInjector
+from godwitway_standins.soak._plan import RESTORE_KIND
 
 # Address and port that callers send "board" requests to.
 BOARD_ADDRESS = ("198.18.0.1", 443)
@@ -180,14 +181,14 @@
     def test_every_kind_has_an_injector_method(self):
         """Each kind that is not prefixed with `store_` or `host_store_` names an injector method.
 
-        Each kind, with any prefix, occurs in some plan.
+        Each kind, with any prefix, and restores of the store occur in some plan.
         """
         checked_kinds = [
             name for name in FAULT_KINDS if not name.startswith(("store_", "host_store_"))
         ]
         assert all(hasattr(FaultInjector, name) for name in checked_kinds)
         planned = {fault.kind for seed in range(30) for fault in make_plan(seed, 60.0)}
-        assert planned == set(FAULT_KINDS)
+        assert planned == {*FAULT_KINDS, RESTORE_KIND}
 
 
 class TestRuns:
@@ -212,6 +213,16 @@
         assert report.faults
         assert report.summary()["ended"]["served"] > 100
 
+    def test_a_run_with_restores_of_the_store_keeps_its_promises(self, tmp_path):
+        """The store of seed 9 is restored several times beside other faults."""
+        report = asyncio.run(run_soak(9, 20.0, Layout(net=39), tmp_path))
+        assert report.breaches == [], report.format_text()
+        assert sum(fault.kind == RESTORE_KIND for fault in report.faults) > 1
+        restored = [
+            path for path in tmp_path.glob("*.log") if b"store_restored" in path.read_bytes()
+        ]
+        assert restored
+
 
 class TestInterruption:
     """A run that is cancelled."""
