Let the soak see which configuration each host has in force

The check of CONFIG in the soak could not fail: callers used only the routes that are never dropped.

Flows are now opened at single hosts, 20 a second, on routes that were added or dropped; a host that refuses one on a route that was added more than 3 s ago breaks CONFIG, unless it refuses flows on a lasting route as well.

--- a/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
@@ -28,6 +28,8 @@
         sent: The kind of each request that a caller sent, by id.
         runs: How often each request ran, by id.
         outcomes: How requests ended.
+        dropped: When each route that is gone was dropped, by its address.
+        routed_at: When each present route was added, by its address.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
@@ -40,6 +42,7 @@
         self.homes: dict[FlowKey, list[tuple[FlowTarget, str]]] = defaultdict(list)
         self.allowed: dict[tuple[str, int], set[str]] = defaultdict(set)
         self.dropped: dict[tuple[str, int], float] = {}
+        self.routed_at: dict[tuple[str, int], float] = {}
         self.draining: dict[str, float] = {}
         self.outcomes: list[Outcome] = []
 
@@ -71,8 +74,10 @@
         for address, service in routes.items():
             self.allowed[address].add(service)
             self.dropped.pop(address, None)
+            self.routed_at.setdefault(address, self.now())
         for address in self.allowed.keys() - routes.keys():
             self.dropped.setdefault(address, self.now())
+            self.routed_at.pop(address, None)
 
     def took(self, target: FlowTarget, key: FlowKey, host: str) -> None:
         """Check the opening packet of a flow."""
@@ -87,6 +92,14 @@
         if late > Bounds.config_s and self.calm(host, "store"):
             self.breach("CONFIG", f"{host} used route {address} {late:.2f} s after it was dropped")
 
+    def refused_route(self, host: str, address: tuple[str, int], sent_at: float) -> None:
+        """Check a reset of an opening packet that was sent to a host, by IP address."""
+        if address not in self.routed_at:
+            return
+        late = self.lateness(self.routed_at[address]) - (self.now() - sent_at)
+        if late > Bounds.config_s and self.calm(host, "store"):
+            self.breach("CONFIG", f"{host} refused route {address} {late:.2f} s after it was added")
+
     def ran(self, target: FlowTarget, request: str, key: FlowKey) -> None:
         """Check a run of a request."""
         if request not in self.sent:
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_router.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_router.py
@@ -56,8 +56,11 @@
     def send(self, zone: str, flow: bytes, raw: bytes) -> None:
         """Send a caller's packet to its host."""
         host = self.choose(zone, flow)
-        if host is None:
-            return
+        if host is not None:
+            self.send_to(host, raw)
+
+    def send_to(self, host: RoutedHost, raw: bytes) -> None:
+        """Send a packet to a host."""
         try:
             self.socket.sendto(raw, host.packets)
         except OSError:
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
@@ -7,14 +7,15 @@
 import signal
 import subprocess
 import sys
-from collections import deque
 from pathlib import Path
 
 from godwitway_standins.flows._caller import Caller, RequestType
 from godwitway_standins.flows._judge import Judge
-from godwitway_standins.flows._metadata import MetadataServer, StoreCopy
+from godwitway_standins.flows._metadata import MetadataServer
 from godwitway_standins.flows._proxy import TcpProxy
+from godwitway_standins.flows._route_probes import RouteProber
 from godwitway_standins.flows._router import RoutedHost, Router
+from godwitway_standins.flows._store_copies import StoreCopies
 from godwitway_standins.flows._target import FlowTarget
 
 __all__ = ["KINDS", "FlowWorld", "HostProcess", "Layout"]
@@ -27,9 +28,7 @@
 SERVICE_PORT = 443
 STOP_BOUND_S = 6
 TICK_S = 0.01
-COPY_INTERVAL_S = 1.0
-MAX_COPIES = 12
-WRITE_AGAIN_S = 2.0  # Until operator and targets have repeated what the store has lost.
+EXTRA_NET = "198.18.1."  # Of the addresses of routes that come and go.
 PAUSE_S = 0.3
 KINDS = {
     "board": RequestType("board", True, True, 0, 4_000, 1.5),
@@ -154,7 +153,8 @@
         router: The platform's routers.
         hosts: All hosts.
         targets: All targets that have been.
-        copies: Copies of the store from the last seconds, the oldest first.
+        copies: Copies of the store from the last seconds.
+        prober: Probes the hosts on routes that come and go.
         config_value: The newest configuration that the store acknowledged.
     """
 
@@ -174,8 +174,12 @@
         self.extra_routes = 0
         self.numbers = 0
         self.asking = True
-        self.copies: deque[StoreCopy] = deque(maxlen=MAX_COPIES)
         self.config_value = b""
+        # Generators of their own: requests and other faults of a seed stay the same.
+        self.copies = StoreCopies(self.store, random.Random(f"copies {seed}"))
+        self.prober = RouteProber(
+            self.judge, self.router, self.address_of("board"), random.Random(f"probes {seed}")
+        )
 
     async def start(self) -> None:
         """Start everything but the callers' requests."""
@@ -193,7 +197,7 @@
                 self.add_caller(zone, index * layout.callers + number)
         self.tasks += [
             asyncio.ensure_future(job)
-            for job in (self.router.run(), self.tick(), self.copy_store())
+            for job in (self.router.run(), self.tick(), self.copies.run(), self.prober.run())
         ]
 
     async def start_hosts(self) -> None:
@@ -209,6 +213,7 @@
             host = HostProcess(f"host-{number}", zone, ip, proxy, self.folder, seeds)
             self.hosts.append(host)
             self.router.hosts[host.name] = RoutedHost(zone, (ip, PACKET_PORT), (ip, READY_PORT))
+            self.prober.add_host(host.name, (layout.ip(6, number), PACKET_PORT))
             host.start()
             await asyncio.sleep(0.02)
 
@@ -257,7 +262,7 @@
         self.version += 1
         routes = {self.address_of(kind): (kind, SERVICE_OF[kind]) for kind in KINDS}
         for number in range(self.extra_routes):
-            routes[f"198.18.1.{number % 250 + 1}", SERVICE_PORT] = ("board", "desk")
+            routes[f"{EXTRA_NET}{number % 250 + 1}", SERVICE_PORT] = ("board", "desk")
         document = {
             "version": self.version,
             "routes": [
@@ -290,27 +295,17 @@
         self.store.put("op/config", self.config_value)
         self.judge.configured({address: service for address, (_, service) in routes.items()})
 
-    async def copy_store(self) -> None:
-        """Copy the store every `COPY_INTERVAL_S`."""
-        while True:
-            self.copies.append(self.store.copy())
-            await asyncio.sleep(COPY_INTERVAL_S)
-
-    async def write_again(self) -> None:
-        """Let operator and targets write again what a restored store may have lost.
+    async def restore_store(self, age: float) -> None:
+        """Restore the store from a copy, and let operator and targets write again what it lost.
 
-        Each does so once, at a random time within `WRITE_AGAIN_S`.
+        Args:
+            age: Chooses the copy; see `StoreCopies.restore`.
         """
-        started_at = asyncio.get_running_loop().time()
-        writers = [None, *self.targets]
-        delays_s = sorted(self.rng.uniform(0.0, WRITE_AGAIN_S) for _ in writers)
-        self.rng.shuffle(writers)
-        for writer, delay_s in zip(writers, delays_s, strict=True):
-            await asyncio.sleep(started_at + delay_s - asyncio.get_running_loop().time())
-            if writer is None:
-                self.store.put("op/config", self.config_value)
-            elif writer.alive:
-                self.announce(writer)
+        lost = self.copies.restore(age)
+        alive = {f"servers/{target.name}" for target in self.targets if target.alive}
+        await self.copies.write_again(
+            lost, lambda key, value: key in alive or value == self.config_value
+        )
 
     def add_caller(self, zone: str, number: int) -> None:
         """Add a caller."""
@@ -366,6 +361,7 @@
             host.proxy.close()
         for caller in self.callers:
             caller.close()
+        self.prober.close()
         for target in self.targets:
             if target.alive:
                 target.crash()
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_faults.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_faults.py
@@ -160,17 +160,19 @@
     async def restore_store(self, fault: Fault) -> None:
         """Make the store unavailable, then restore it from one of its copies.
 
-        Operator and targets write again what it has lost, each after a while; see
-        `FlowWorld.write_again`. The entries of targets that have ended expire.
+        Operator and targets write again what it has lost; see `FlowWorld.restore_store`. Meanwhile
+        the operator changes the routes. The entries of targets that have ended expire.
         """
         store = self.world.store
         self.judge.disturb("store", until=self.judge.now() + fault.duration_s)
         store.faults.down = "reset"
         await asyncio.sleep(fault.duration_s)
-        store.restore(self.world.copies[int(fault.selector * len(self.world.copies))])
         store.faults.down = ""
         self.judge.disturb("store")
-        await self.world.write_again()
+        async with asyncio.TaskGroup() as writers:
+            writers.create_task(self.world.restore_store(fault.selector))
+            await asyncio.sleep(fault.selector)
+            await self.config_routes(fault)
         await asyncio.sleep(ENTRY_EXPIRY_S)
         for target in self.world.targets:
             if not target.alive:
--- a/packages/godwitway-standins/tests/test_soak.py
+++ b/packages/godwitway-standins/tests/test_soak.py
@@ -170,6 +170,26 @@
         setup.end_request("refused", ["c1-1"], repeatable=False)
         assert setup.broken_promises() == ["REFUSED"]
 
+    @pytest.mark.parametrize(
+        ("after_s", "disturbed", "broken"),
+        [(2.9, (), []), (3.1, (), ["CONFIG"]), (3.1, (HOST_IP,), []), (3.1, ("store",), [])],
+    )
+    def test_a_refused_flow_on_an_added_route(self, after_s, disturbed, broken):
+        """An added route is in force within 3 s, at hosts that nothing disturbs."""
+        setup = JudgeSetup()
+        setup.time += after_s
+        setup.judge.disturb(*disturbed)
+        setup.judge.refused_route(HOST_IP, BOARD_ADDRESS, setup.time)
+        assert setup.broken_promises() == broken
+
+    def test_a_refused_flow_on_a_dropped_route(self):
+        """Hosts may refuse it."""
+        setup = JudgeSetup()
+        setup.judge.configured({})
+        setup.time += 9.0
+        setup.judge.refused_route(HOST_IP, BOARD_ADDRESS, setup.time)
+        assert setup.broken_promises() == []
+
 
 class TestPlan:
     """The fault plan of a run."""
