Say where and when the highest imbalance of a played trace was seen

`make demo` failed with an imbalance of 1.1005 at a bound of 1.1, and said neither which service nor when. It now prints the connections of that sample.

--- a/packages/godwitway-standins/src/godwitway_standins/_judge_real.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_judge_real.py
@@ -20,17 +20,27 @@
 
 
 class SampleSeries:
-    """The worst spread of connections that was seen, by service."""
+    """The worst spread of connections that was seen.
 
-    __slots__ = ("worst",)
+    Attributes:
+        worst: The highest ratio of the highest to the mean connections of a service's targets.
+        worst_at: When and where it was seen.
+    """
+
+    __slots__ = ("worst", "worst_at")
 
     def __init__(self) -> None:
         self.worst = 1.0
+        self.worst_at = ""
 
-    def add(self, counts: list[int]) -> None:
-        """Take in the connections of a service's targets."""
-        if counts and sum(counts) >= FLOWS_LEAST * len(counts):
-            self.worst = max(self.worst, max(counts) * len(counts) / sum(counts))
+    def add(self, counts: list[int], service: str = "", at_s: float = 0.0) -> None:
+        """Take in the connections of a service's targets, at a time after the first sample."""
+        if not counts or sum(counts) < FLOWS_LEAST * len(counts):
+            return
+        spread = max(counts) * len(counts) / sum(counts)
+        if spread > self.worst:
+            self.worst = spread
+            self.worst_at = f"{service} at {at_s:.1f} s, connections {counts}"
 
 
 async def fetch_state(session: aiohttp.ClientSession, service: Service) -> list[dict[str, Any]]:
@@ -53,6 +63,8 @@
         skip: The addresses of targets that are drained meanwhile.
         series: Takes the samples.
     """
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
     async with aiohttp.ClientSession() as session:
         while True:
             await asyncio.sleep(SAMPLE_S)
@@ -63,7 +75,7 @@
                     for target, state in zip(service.targets, states, strict=True)
                     if format_address(target.address) not in skip
                 ]
-                series.add(counts)
+                series.add(counts, service.name, loop.time() - started_at)
 
 
 async def judge_real(
--- a/packages/godwitway-standins/src/godwitway_standins/cli.py
+++ b/packages/godwitway-standins/src/godwitway_standins/cli.py
@@ -168,6 +168,7 @@
         sampling = asyncio.ensure_future(sample_servers(services, set(self.skip), series))
         player = await play_real(trace, parse_address(self.listen), parse_address(self.fabric))
         sampling.cancel()
+        sys.stdout.write(f"highest imbalance: {series.worst_at or 'none'}\n")
         service_s = DEPLOYMENTS[trace.header.deployment].service_s()
         return await judge_real(player.results, services, series, service_s)
 
