Treat an unreadable revision offset as an error of the store

A value that is no number would have ended the job that watches the store, with an unexpected error; a negative one was accepted. Seen when reading the change again. The four cases of the new test fail on the code before.

--- a/packages/godwitway-standins/tests/test_renumbering.py
+++ b/packages/godwitway-standins/tests/test_renumbering.py
@@ -6,7 +6,7 @@
 
 import pytest
 from godwitway.journal import Journal
-from godwitway.process import CompactedError, Compare, Get, LoopClock, Put
+from godwitway.process import CompactedError, Compare, Get, LoopClock, Put, StoreError
 from godwitway.process._renumbering import OFFSET_KEY, RenumberedStore
 
 from godwitway_standins._store import MemoryStore
@@ -96,6 +96,17 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("value", [b"", b"-1", b"x", b"\xff"])
+    def test_an_invalid_offset_is_an_error_of_the_store(self, value):
+        """Hosts try again after such an error; another one would end the job."""
+
+        async def scenario(stores):
+            stores.memory.put_now(OFFSET_KEY, value)
+            with pytest.raises(StoreError, match="revision-offset"):
+                await stores.views[0].range("/")
+
+        play(scenario)
+
 
 class TestTransactions:
     """Conditions on revisions."""
--- a/packages/godwitway/src/godwitway/process/_renumbering.py
+++ b/packages/godwitway/src/godwitway/process/_renumbering.py
@@ -48,8 +48,14 @@
         self.newest_revision = max(self.newest_revision, revision)
 
     def adopt_offset(self, items: list[KeyValue]) -> None:
-        """Use the offset among items of the store; 0 if it is not among them."""
+        """Use the offset among items of the store; 0 if it is not among them.
+
+        Raises:
+            StoreError: The offset's value is not a whole number.
+        """
         item = next((item for item in items if item.key == OFFSET_KEY), None)
+        if item is not None and not item.value.isdigit():
+            raise StoreError(f"{OFFSET_KEY} is not a whole number: {item.value!r:.40}")
         self.offset = int(item.value) if item else 0
         self.offset_version = item.mod_revision if item else 0
 
@@ -89,6 +95,10 @@
         """Execute `then` atomically when all compares hold, else `otherwise`; see `Store.txn`.
 
         `otherwise` may be executed several times.
+
+        Raises:
+            StoreError: A call got no usable answer, or other hosts changed the offset again and
+                again.
         """
         for _ in range(MAX_TXN_ATTEMPTS):
             known = self.newest_revision
