--- a/packages/godwitway-standins/src/godwitway_standins/flows/_store_copies.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_store_copies.py
@@ -16,7 +16,13 @@
 
 
 class StoreCopies:
-    """Copies of the store from the last seconds, the oldest first."""
+    """Copies of the store from the last seconds.
+
+    Attributes:
+        store: The store.
+        rng: Chooses when lost values are written again.
+        copies: The copies, the oldest first.
+    """
 
     def __init__(self, store: MetadataServer, rng: random.Random) -> None:
         self.store = store
