Ignore restored entries of a target's earlier incarnation

A target may start again under the id that it had. If the store is then restored from a copy that is older than the start, its listing has the entry of the earlier incarnation. Hosts took it for a restart, so the flows of the running incarnation went to the address of the ended one until the target repeated its entry, up to two seconds, and the evidence about it was dropped twice.

An entry is now outdated if its incarnation started before the known one, as it was if its update number was lower. Start times come from targets' clocks, which may be set back, so they are compared only as long as lost updates are repeated: what was known at a restore is forgotten 10 s later.

The new test fails on the parent (the address and the start time are those of the earlier incarnation).

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -36,6 +36,7 @@
         known_updates: Recognizes entries that are older than what was applied before a restore.
         outdated_entries: The value, the revision, and the time at which it is applied in spite of
             its age, in seconds, of each outdated entry that was not written again, by key.
+        restored_at: When this host learned that the store was restored, in seconds.
         restored_revision: The revision of the listing that showed that the store was restored; keys
             that are missing there were not deleted but lost. 0 before the first restore.
         target_id_by_key: The id of the target that each key of the store last described.
@@ -62,12 +63,14 @@
         self.lapsed_until: dict[str, float] = {}
         self.known_updates = KnownUpdates()
         self.outdated_entries: dict[str, tuple[bytes, int, float]] = {}
+        self.restored_at = 0.0
         self.restored_revision = 0
         self.target_id_by_key: dict[str, str] = {}
         self.on_target_restart: Callable[[str], None] = lambda target_id: None
 
     def begin_restored_era(self, position: StorePosition) -> None:
         """Remember what is known before the entries of a restored store are applied."""
+        self.restored_at = self.now()
         self.restored_revision = position.revision
         present, missing = [], self.catalog.departed_targets()
         for target in self.catalog.targets.values():
@@ -193,6 +196,8 @@
             value, revision, _ = self.outdated_entries[key]
             self.known_updates.forget(self.target_id_by_key[key])
             self.apply_target_entry(key, value, revision)
+        if now >= self.restored_at + OUTDATED_HOLD_S:
+            self.known_updates.forget_all()
 
     def lapse_targets(self) -> None:
         """Send no new flows to the targets whose entries were not written again in time."""
--- a/packages/godwitway/tests/steering/test_announcements.py
+++ b/packages/godwitway/tests/steering/test_announcements.py
@@ -234,6 +234,28 @@
         harness.wait(0.1)
         assert [target.draining for target in harness.catalog.by_service["desk"]] == [False]
 
+    def test_flows_of_a_restarted_target_do_not_go_to_its_earlier_incarnations_address(self):
+        """The restored entry is of the incarnation that has ended, and draws flows to it."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready 1 9")
+        harness.change_entry(b"ready 2 1")
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.change_entry(b"ready 1 9", revision=3)
+        assert harness.catalog.targets["i-0001"].started_ms == 2
+        harness.change_entry(b"ready 2 1", revision=5)
+        harness.wait(OUTDATED_HOLD_S)
+        assert harness.catalog.targets["i-0001"].started_ms == 2
+        assert harness.restarted == ["i-0001"]
+
+    def test_a_target_that_starts_again_with_its_clock_set_back_is_not_kept_out(self):
+        """Start times order the incarnations only while lost updates are repeated."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready 5 9")
+        harness.announcements.begin_restored_era(at(4, era=2))
+        harness.wait(OUTDATED_HOLD_S)
+        harness.change_entry(b"ready 3 1", revision=5)
+        assert harness.catalog.targets["i-0001"].started_ms == 3
+
     def test_an_older_entry_that_the_store_drops_is_not_applied(self):
         """Its target has ended."""
         harness = AnnouncementsHarness()
