Do not count connections that have ended in the imbalance of a played trace

`make demo` failed now and then with "imbalance is 1.1005, stated is at most 1.1". Traced by sampling, every 0.2 s of six plays, what each target reports and what its owner counts: the held connections were 99, 104, 95 and 102 at the four targets from the sixth second to the end, and each target had at most 3 requests in work and 3 waiting. The other 20 to 43 connections that a target reported were answered and closed; the stand-in keeps a closed connection for 5 s, only to acknowledge what the caller repeats. At 14.8 s of the trace these made 145 of 102, and 1.0985 of 1.04; one or two more made the failures.

A target now reports its open connections. The stated bound stays 1.1.

--- a/packages/godwitway-standins/src/godwitway_standins/_replay.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_replay.py
@@ -59,7 +59,7 @@
         servers = self.world.servers_of(name)
         # A target that drains or has just been added has no even part.
         counts = [
-            len(server.connections)
+            server.count_open()
             for raw, server in zip(targets[: self.original(name)], servers, strict=False)
             if raw.get("state") != "draining"
         ]
--- a/packages/godwitway-standins/src/godwitway_standins/_server.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_server.py
@@ -39,12 +39,14 @@
         acknowledged: The highest acknowledgement that the caller sent.
         requests: Requests that wait for their answer.
         closing: Whether the caller has sent its FIN.
+        ended: Whether the server has closed it and only acknowledges what the caller repeats.
     """
 
     __slots__ = (
         "acknowledged",
         "changed",
         "closing",
+        "ended",
         "key",
         "received",
         "requests",
@@ -59,7 +61,7 @@
         self.acknowledged = INITIAL_SEQUENCE + 1
         self.requests: asyncio.Queue[Request | None] = asyncio.Queue()
         self.changed = asyncio.Event()
-        self.closing = False
+        self.closing = self.ended = False
         self.task: asyncio.Task[None] | None = None
 
 
@@ -192,6 +194,10 @@
         else:
             self.later_segment(connection, segment)
 
+    def count_open(self) -> int:
+        """Return the number of TCP connections that have not ended."""
+        return sum(not connection.ended for connection in self.connections.values())
+
     def open(self, key: bytes, segment: Segment, connection: ServerConnection | None) -> None:
         """Answer a SYN, or turn it away."""
         if connection is None and self.shed:
@@ -241,7 +247,7 @@
             if caller_port in self.closes:
                 break
         await self.send_fin(connection)
-        # A closed connection still acknowledges what the caller repeats.
+        connection.ended = True
         await self.clock.sleep(LINGER_S)
         self.connections.pop(connection.key, None)
 
