Compare each answer of the own face's store with all revisions that the host knows

After a restore an operator who wrote through a host that does not watch the store got a revision that had been given out before, 6 in the test with 14 in force everywhere; `wait-in-force 6` then returns at once, before the change is in force. The host compared the answer only with earlier answers to its own calls, and a host that does not watch makes none.

The view of the store now asks the node for the highest revision that it has learned of, from its configuration, its members and the platform's list, before each call, not only when a host begins to watch. A transaction that is the first to show the restore has its changes in force with the offset, so its outcome has the revision of that.

--- a/packages/godwitway-standins/tests/test_config.py
+++ b/packages/godwitway-standins/tests/test_config.py
@@ -286,6 +286,22 @@
 
         in_world(job)
 
+    def test_a_write_through_a_host_that_does_not_watch_gets_no_lost_revision(self):
+        """The operator would take the revision for one that is in force everywhere."""
+
+        async def job(world):
+            newest = await lose_changes(world)
+            entries = hosts(world)
+            entry = next(entry for entry in entries if not entry.host.config_sync.is_watching)
+            writer = entry.host.service_writer
+            version = (await writer.read_with_claims("live-auction", {})).popitem()[1].mod_revision
+            outcome = await writer.put(*changed_service(world, bound=0.4), version)
+            assert outcome.unwrap().revision > newest
+            await world.clock.sleep(IN_FORCE_S)
+            assert load_bounds(world) == {0.4}
+
+        in_world(job)
+
     def test_what_the_store_has_lost_is_not_in_force_any_more(self):
         """Otherwise hosts that start later would differ from the others."""
 
--- a/packages/godwitway-standins/tests/test_renumbering.py
+++ b/packages/godwitway-standins/tests/test_renumbering.py
@@ -21,15 +21,19 @@
     Attributes:
         memory: The store.
         views: The views of the hosts.
+        learned_revision: What the hosts have learned from others.
         lines: The log lines of both hosts.
     """
 
     def __init__(self) -> None:
         self.lines: list[dict[str, object]] = []
+        self.learned_revision = 0
         self.memory = MemoryStore(LoopClock(), random.Random(1))
         self.views = [
             RenumberedStore(
-                self.memory, Journal("host", lambda: 0.0, self.lines.append, repr, 1_000)
+                self.memory,
+                lambda: self.learned_revision,
+                Journal("host", lambda: 0.0, self.lines.append, repr, 1_000),
             )
             for _ in range(2)
         ]
@@ -96,6 +100,21 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("compares", [[], [Compare(KEY, 0)]])
+    def test_a_host_that_knows_lost_revisions_only_from_others_notices_the_restore(self, compares):
+        """Its first call after the restore is a write, which comes into force with the offset."""
+
+        async def scenario(stores):
+            stores.learned_revision = 10
+            view = stores.views[0]
+            written = await view.txn(compares, [Put(KEY, b"1")], [])
+            assert written.succeeded
+            assert written.revision > stores.learned_revision
+            listed = await view.range("/")
+            assert listed.revision == written.revision
+
+        play(scenario)
+
     @pytest.mark.parametrize("value", [b"", b"-1", b"x", b"\xff"])
     def test_an_invalid_offset_is_an_error_of_the_store(self, value):
         """Hosts try again after such an error; another one would end the job."""
--- a/packages/godwitway/src/godwitway/process/_config.py
+++ b/packages/godwitway/src/godwitway/process/_config.py
@@ -161,7 +161,6 @@
 
     async def watch_store(self) -> None:
         """Read the store, then follow its watches until one fails or this host is no watcher."""
-        self.store.note_revision(self.newest_known_revision())
         services = await self.store.range(CONFIG_PREFIX)
         hosts = await self.store.range(HOSTS_PREFIX)
         await self.apply_full_read(services.items)
@@ -181,13 +180,6 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    def newest_known_revision(self) -> int:
-        """Return the highest revision of the store that any known host has learned of."""
-        node = self.node
-        members = [member.revision for member in node.members.values()]
-        platform_hosts = [version for _, version in node.platform_host_states.values()]
-        return max([node.snapshot.revision, *members, *platform_hosts])
-
     async def wait_until_replaced(self) -> None:
         """Return when this host is no longer one of the watchers of its zone."""
         while self.is_watcher():
--- a/packages/godwitway/src/godwitway/process/_host.py
+++ b/packages/godwitway/src/godwitway/process/_host.py
@@ -119,7 +119,7 @@
         self.ingress = Ingress(self.node, self.flows, self.router, answers)
         self.ownership = Ownership(self.node, self.flows, self.router)
         self.control = Control(self.node)
-        store = RenumberedStore(dependencies.store, self.node.journal)
+        store = RenumberedStore(dependencies.store, self.node.newest_revision, self.node.journal)
         self.config_sync = ConfigSync(self.node, self.ownership, self.control, store)
         self.membership = Membership(
             self.node,
--- a/packages/godwitway/src/godwitway/process/_node.py
+++ b/packages/godwitway/src/godwitway/process/_node.py
@@ -137,6 +137,12 @@
             revision=self.snapshot.revision,
         )
 
+    def newest_revision(self) -> int:
+        """Return the highest revision of the store that this host has learned of."""
+        members = [member.revision for member in self.members.values()]
+        platform_hosts = [version for _, version in self.platform_host_states.values()]
+        return max([self.snapshot.revision, *members, *platform_hosts])
+
     def is_reachable(self, host_id: bytes) -> bool:
         """Return whether a host is this one or a member that is not known to be dead."""
         if host_id == self.id:
--- a/packages/godwitway/src/godwitway/process/_renumbering.py
+++ b/packages/godwitway/src/godwitway/process/_renumbering.py
@@ -1,6 +1,6 @@
 """Keeps revisions rising when the store is restored from a copy and gives them out again."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from godwitway.journal import Journal
 from godwitway.process._store import Compare, Get, Operation, Put, Store, TxnResult
@@ -28,23 +28,36 @@
 
     Attributes:
         store: The store.
+        learned_revision: Returns the highest revision that this host has learned of by other means.
         journal: The event log.
         offset: What is added to the store's revisions.
         offset_version: The store's own revision of the offset's key, 0 without the key.
-        newest_revision: The highest known revision, with the offset added.
+        newest_revision: The highest revision in the store's answers, with the offset added.
     """
 
-    __slots__ = ("journal", "newest_revision", "offset", "offset_version", "store")
+    __slots__ = (
+        "journal",
+        "learned_revision",
+        "newest_revision",
+        "offset",
+        "offset_version",
+        "store",
+    )
 
-    def __init__(self, store: Store, journal: Journal) -> None:
+    def __init__(self, store: Store, learned_revision: Callable[[], int], journal: Journal) -> None:
         self.store = store
+        self.learned_revision = learned_revision
         self.journal = journal
         self.offset = 0
         self.offset_version = 0
         self.newest_revision = 0
 
+    def known_revision(self) -> int:
+        """Return the highest revision that this host knows of."""
+        return max(self.newest_revision, self.learned_revision())
+
     def note_revision(self, revision: int) -> None:
-        """Record a revision that this host has learned of, for example from another host."""
+        """Record a revision in an answer of the store."""
         self.newest_revision = max(self.newest_revision, revision)
 
     def adopt_offset(self, items: list[KeyValue]) -> None:
@@ -76,7 +89,7 @@
         Raises:
             StoreError: A call got no usable answer, or the store was restored again meanwhile.
         """
-        known = self.newest_revision
+        known = self.known_revision()
         result = await self.store.range(prefix)
         if OFFSET_KEY.startswith(prefix):
             self.adopt_offset(result.items)
@@ -101,7 +114,7 @@
                 again.
         """
         for _ in range(MAX_TXN_ATTEMPTS):
-            known = self.newest_revision
+            known = self.known_revision()
             conditions = [self.renumber_compare(compare) for compare in compares]
             if conditions:
                 conditions.append(Compare(OFFSET_KEY, self.offset_version))
@@ -117,8 +130,12 @@
         raise StoreError("the revisions of the store were renumbered several times")
 
     def renumber_result(self, result: TxnResult) -> TxnResult:
-        """Return the outcome of a transaction with the offset added to its revisions."""
-        revision = result.revision + self.offset
+        """Return the outcome of a transaction with the offset added to its revisions.
+
+        If the offset was raised after the transaction, the outcome has that later revision: what
+        the transaction wrote comes into force with it.
+        """
+        revision = max(result.revision, self.offset_version) + self.offset
         self.note_revision(revision)
         found = [self.renumber_item(item) for item in result.found if item.key != OFFSET_KEY]
         return TxnResult(result.succeeded, revision, found)
