--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -188,7 +188,8 @@
     def apply_outdated_entries(self) -> None:
         """Apply outdated entries that the store still has after `OUTDATED_HOLD_S`.
 
-        A live target does not write its entry again if the store has it with the same content.
+        A live target does not write its entry again if the store has it with the same content. By
+        the same time after the restore no lost update is left to be repeated.
         """
         now = self.now()
         due = [key for key, (_, _, at) in self.outdated_entries.items() if at <= now]
