Give a write another lease if the store has lost the writer's

The records of a host's writes share a lease for up to an hour. After a restore from a copy that is older than the lease, and after the lease expired, the first write through each host failed: the store refuses a transaction with an unknown lease, and the writer could only report, truly, that it had not taken effect.

The store's client now tells this refusal from others, also by the answer of the gateway (status 404, "requested lease not found"). It says that nothing was done, so the writer gets another lease and sends the same transaction again, once.

--- a/packages/godwitway-standins/src/godwitway_standins/_gateway.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_gateway.py
@@ -14,6 +14,7 @@
     Delete,
     Get,
     KeyValue,
+    LeaseNotFoundError,
     LoopClock,
     Put,
     StoreError,
@@ -27,6 +28,7 @@
 
 STORE = web.AppKey("store", MemoryStore)
 LIST_LAG_S = 1.0
+NOT_FOUND_CODE = 5  # Of gRPC; the gateway repeats it in the body of an error.
 
 
 def key_text(raw: dict[str, Any]) -> str:
@@ -154,6 +156,10 @@
     """Answer a failed call as an overloaded or broken store does."""
     try:
         return await handler(request)
+    except LeaseNotFoundError as error:
+        return web.json_response(
+            {"error": f"etcdserver: {error}", "code": NOT_FOUND_CODE}, status=404
+        )
     except StoreError as error:
         return web.json_response({"error": str(error)}, status=503)
 
--- a/packages/godwitway-standins/src/godwitway_standins/_store.py
+++ b/packages/godwitway-standins/src/godwitway_standins/_store.py
@@ -13,6 +13,7 @@
     Delete,
     Get,
     KeyValue,
+    LeaseNotFoundError,
     Put,
     RangeResult,
     StoreError,
@@ -173,7 +174,7 @@
         if len(operation.value) > MAX_VALUE_BYTES:
             raise StoreError("txn: the value is too large")
         if operation.lease and operation.lease not in self.leases:
-            raise StoreError("txn: the lease is not there")
+            raise LeaseNotFoundError("requested lease not found")
 
     def change(self, changes: list[Put | Delete]) -> None:
         """Apply changes at one new revision."""
--- a/packages/godwitway-standins/tests/test_api.py
+++ b/packages/godwitway-standins/tests/test_api.py
@@ -177,6 +177,17 @@
 
         with_host(job)
 
+    def test_a_change_is_accepted_although_the_store_has_lost_the_hosts_lease(self, kingston):
+        """The gateway's answer says that nothing was done."""
+
+        async def job(real, client):
+            await apply_file(client, kingston)
+            real.store.leases.clear()
+            done = await set_target_state(client, "catalogue", "10.2.0.2:9000", "draining")
+            assert done.is_ok()
+
+        with_host(job)
+
     def test_timeout_names_lagging_hosts(self):
         """Waiting for a revision that never comes times out and names the hosts that lack it."""
 
--- a/packages/godwitway/src/godwitway/process/__init__.py
+++ b/packages/godwitway/src/godwitway/process/__init__.py
@@ -17,7 +17,14 @@
 from godwitway.process._settings import ApiSettings, Settings, check_settings, read_settings
 from godwitway.process._store import Compare, Delete, Get, Put, Store, TxnResult
 from godwitway.process._transport import ControlTransport, NngTransport
-from godwitway.store import CompactedError, KeyValue, RangeResult, StoreError, WatchEvent
+from godwitway.store import (
+    CompactedError,
+    KeyValue,
+    LeaseNotFoundError,
+    RangeResult,
+    StoreError,
+    WatchEvent,
+)
 
 __all__ = [
     "CONFIG_PREFIX",
@@ -40,6 +47,7 @@
     "HttpHealthClient",
     "Journal",
     "KeyValue",
+    "LeaseNotFoundError",
     "LoopClock",
     "Metrics",
     "NngTransport",
--- a/packages/godwitway/src/godwitway/process/_etcd.py
+++ b/packages/godwitway/src/godwitway/process/_etcd.py
@@ -11,11 +11,20 @@
 from godwitway.addresses import Address, format_address
 from godwitway.metrics import Metrics
 from godwitway.process._store import Compare, Delete, Get, Operation, Put, TxnResult
-from godwitway.store import CompactedError, KeyValue, RangeResult, StoreError, WatchEvent
+from godwitway.store import (
+    CompactedError,
+    KeyValue,
+    LeaseNotFoundError,
+    RangeResult,
+    StoreError,
+    WatchEvent,
+)
 
 __all__ = ["EtcdStore", "decode_base64", "encode_base64", "prefix_range_end"]
 
 CALL_TIMEOUT_S = 2.0
+HTTP_NOT_FOUND = 404
+LEASE_NOT_FOUND = "requested lease not found"  # Part of the error of the gateway.
 
 
 def encode_base64(value: str | bytes) -> str:
@@ -133,6 +142,7 @@
         """Post a request and return the decoded response.
 
         Raises:
+            LeaseNotFoundError: The store does not have the lease in the request.
             StoreError: No usable response arrived within `CALL_TIMEOUT_S`.
         """
         self.metrics.count("store_calls", path)
@@ -141,6 +151,8 @@
             async with self.http_session().post(
                 self.call_url(path), json=body, timeout=timeout
             ) as response:
+                if response.status == HTTP_NOT_FOUND and LEASE_NOT_FOUND in await response.text():
+                    raise LeaseNotFoundError(f"{path}: {LEASE_NOT_FOUND}")
                 if response.status != 200:
                     raise StoreError(f"{path}: HTTP status {response.status}")
                 return await response.json()
--- a/packages/godwitway/src/godwitway/process/_store.py
+++ b/packages/godwitway/src/godwitway/process/_store.py
@@ -73,6 +73,10 @@
         """Execute `then` atomically when all compares hold, else `otherwise`.
 
         After a `StoreError` it is unknown whether the operations were executed.
+
+        Raises:
+            LeaseNotFoundError: A `Put` names a lease that the store does not have. Nothing was
+                executed.
         """
 
     async def grant_lease(self, ttl_s: int) -> int:
--- a/packages/godwitway/src/godwitway/process/_writes.py
+++ b/packages/godwitway/src/godwitway/process/_writes.py
@@ -14,7 +14,7 @@
 from godwitway.process._clock import Clock
 from godwitway.process._config import REVISION_MARKER_KEY, SERVICES_PREFIX
 from godwitway.process._store import Compare, Delete, Get, Operation, Put, Store
-from godwitway.store import KeyValue, StoreError
+from godwitway.store import KeyValue, LeaseNotFoundError, StoreError
 from godwitway.version import Service, check_service
 
 __all__ = ["AcceptedWrite", "ServiceWriter"]
@@ -25,6 +25,7 @@
 # A write record lives for at least `RECORD_LEASE_TTL_S - LEASE_REUSE_S`, as writes share a lease.
 RECORD_LEASE_TTL_S = 7_200
 LEASE_REUSE_S = 3_600.0
+MAX_LEASES = 2  # The store may have lost the first one.
 LOOKUP_ATTEMPTS = 6
 LOOKUP_RETRY_DELAY_S = 0.25
 
@@ -158,21 +159,24 @@
         write_id = write_id or uuid.uuid4().hex
         record_key = WRITES_PREFIX + write_id
         key = SERVICES_PREFIX + name
-        try:
-            lease = await self.current_lease()
-        except StoreError as error:
-            return Err(Problem(ErrorKind.STORE_UNAVAILABLE, str(error)))
-        then = [
-            *changes,
-            Put(REVISION_MARKER_KEY, write_id.encode()),
-            Put(record_key, b"done", lease),
-        ]
-        try:
-            result = await self.store.txn([*compares, Compare(record_key, 0)], then, [Get(key)])
-        except StoreError:
-            # The lease may have expired, so the next write creates a new one.
-            self.lease = 0
-            return await self.resolve_outcome(write_id)
+        conditions = [*compares, Compare(record_key, 0)]
+        then = [*changes, Put(REVISION_MARKER_KEY, write_id.encode())]
+        for _ in range(MAX_LEASES):
+            try:
+                record = Put(record_key, b"done", await self.current_lease())
+            except StoreError as error:
+                return Err(Problem(ErrorKind.STORE_UNAVAILABLE, str(error)))
+            try:
+                result = await self.store.txn(conditions, [*then, record], [Get(key)])
+                break
+            except LeaseNotFoundError as error:
+                self.lease = 0
+                problem = Problem(ErrorKind.STORE_UNAVAILABLE, str(error))
+            except StoreError:
+                self.lease = 0
+                return await self.resolve_outcome(write_id)
+        else:
+            return Err(problem)
         if result.succeeded:
             return Ok(AcceptedWrite(result.revision, write_id))
         current = result.found[0].mod_revision if result.found else 0
--- a/packages/godwitway/src/godwitway/store.py
+++ b/packages/godwitway/src/godwitway/store.py
@@ -7,6 +7,7 @@
     "Changes",
     "CompactedError",
     "KeyValue",
+    "LeaseNotFoundError",
     "RangeResult",
     "SteeringStore",
     "StoreError",
@@ -23,6 +24,10 @@
     """Raised when a watch starts at a revision that the store has compacted."""
 
 
+class LeaseNotFoundError(StoreError):
+    """Raised when a transaction names a lease that the store does not have; it changed nothing."""
+
+
 class StorePosition(NamedTuple):
     """A point in the store's history; a later one compares as greater.
 
