--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,8 @@
 # 207: SIGHUP ended a host that was just starting; still fails, see KNOWN-RED.txt.
 # 243: the soak check applied the time limit of an undisturbed system to a drain that the store
 # accepted between two faults.
-SEEDS ?= 1 2 3 4 207 243
+# 2240: a host that used its whole stop bound ended late on a busy machine; see KNOWN-RED.txt.
+SEEDS ?= 1 2 3 4 207 243 2240
 SOAK_FOLDER ?= .soak
 
 # Runs entry host processes under randomized faults; SEEDS="7 8" selects other seeds.
