--- a/packages/godwitway/src/godwitway/process/_writes.py
+++ b/packages/godwitway/src/godwitway/process/_writes.py
@@ -25,7 +25,8 @@
 # A write record lives for at least `RECORD_LEASE_TTL_S - LEASE_REUSE_S`, as writes share a lease.
 RECORD_LEASE_TTL_S = 7_200
 LEASE_REUSE_S = 3_600.0
-MAX_LEASES = 2  # The store may have lost the first one.
+# A lease may have expired, or have been granted after the copy from which the store was restored.
+MAX_LEASES = 2
 LOOKUP_ATTEMPTS = 6
 LOOKUP_RETRY_DELAY_S = 0.25
 
@@ -173,9 +174,9 @@
                 self.lease = 0
                 problem = Problem(ErrorKind.STORE_UNAVAILABLE, str(error))
             except StoreError:
-                self.lease = 0
+                self.lease = 0  # The error does not exclude that the lease is the cause.
                 return await self.resolve_outcome(write_id)
-        else:
+        else:  # The store does not have the new lease either.
             return Err(problem)
         if result.succeeded:
             return Ok(AcceptedWrite(result.revision, write_id))
