Show that hosts give colliding route tokens to different targets

A route token is a 32-bit hash of the target's id. If two ids have the same hash, the target that a host learns of later gets another token, and a restarted host learns of them in another order than a running one. The hosts then send each other's flows of both targets to the wrong target, which resets them.

The stand-ins now end their processes when a script is stopped by SIGTERM.

--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -11,10 +11,13 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
 import urllib.parse
@@ -858,9 +861,9 @@
         revision = self.store.put("op/config", json.dumps(document).encode())
         self.record.note(f"configuration {self.version} acknowledged, revision {revision}")
 
-    async def add_target(self, service, zone, work_s=0.05):
+    async def add_target(self, service, zone, work_s=0.05, number=None):
         self.targets_made += 1
-        number = random.randrange(1 << 32, 1 << 40)
+        number = number or random.randrange(1 << 32, 1 << 40)
         target = Target(self, number, service, zone, self.ip(3, self.targets_made), work_s=work_s)
         await target.start()
         self.targets.append(target)
@@ -971,16 +974,15 @@
 
 def run(folder, scenario):
     """Run a scenario; return the exit code: 1 rule broken, 0 held, 2 the case could not run."""
-    import shutil
-    import sys
-    import tempfile
-
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"disruption: {'yes' if trouble else 'no'}")
     scratch = tempfile.mkdtemp(prefix="review-")
 
     async def play():
+        # A script that is stopped still ends the processes that it started.
+        loop, main = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, main.cancel)
         world = World(record, scratch)
         try:
             async with asyncio.timeout(110):
@@ -995,7 +997,7 @@
     try:
         asyncio.run(play())
         code = 1 if record.broken else 0
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.note(f"the case could not run: {error!r}")
         code = 2
     finally:
