--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,10 +30,8 @@
         return
     until = time.monotonic() + USE_S
     while time.monotonic() < until and not flow.ended:
-        result, request = await caller.request(flow)
+        result, _ = await caller.request(flow)
         world.results[result] = world.results.get(result, 0) + 1
-        if result != "served":
-            world.record.note(f"request {request} on {flow.key()}: {result}")
         await asyncio.sleep(PAUSE_S)
     caller.drop(flow)
 
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -37,7 +37,7 @@
 
 
 class Record:
-    """Writes what happened to record.txt; thread-free, one line for each event."""
+    """Writes what happened to record.txt: one line for each event and for each request."""
 
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
@@ -49,7 +49,9 @@
 
     def note(self, text):
         self.file.write(f"{self.now():9.3f} {text}\n")
-        self.file.flush()
+
+    def close(self):
+        self.file.close()
 
     def breach(self, rule, text):
         self.broken.append((rule, text))
@@ -151,9 +153,7 @@
             del self.out[: min(gained, len(self.out))]
             self.una = packet.ack
             self.timeout, self.repeats = 0.2, 0
-            self.resend_at = (
-                None if self.next == packet.ack else time.monotonic() + self.timeout
-            )
+            self.resend_at = None if self.next == packet.ack else time.monotonic() + self.timeout
             self.pump()
         fin = bool(packet.flags & FIN)
         if not packet.data and not fin:
@@ -546,7 +546,8 @@
         body = (request * 30).encode()[:600]
         flow.end.write(
             f"HTTP/1.1 200 OK\r\nX-Godwitway-Server-Stamp: {self.id}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
         )
         if self.draining:
             flow.end.close()
@@ -679,19 +680,31 @@
         request = f"{self.ip}-{self.count}"
         self.world.sent.add(request)
         flow.answer = b""
+        sent_at = self.world.record.now()
         flow.end.write(
             f"POST / HTTP/1.1\r\nX-Godwitway-Request-Id: {request}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
         )
         until = time.monotonic() + deadline_s
+        result = "late"
         while time.monotonic() < until and not flow.ended:
             head, separator, rest = flow.answer.partition(b"\r\n\r\n")
             if separator:
                 fields = dict(line.split(": ", 1) for line in head.decode().split("\r\n")[1:])
                 if len(rest) >= int(fields["Content-Length"]):
-                    return "served", request
+                    result = "served"
+                    break
             await self.wait(flow, until)
-        return flow.ended or "late", request
+        else:
+            result = flow.ended or result
+        self.world.ended.add(request)
+        runs = ", ".join(self.world.runs.get(request, ["nowhere"]))
+        self.world.record.note(
+            f"request {request} to {self.world.text_of(flow.to)}: sent at {sent_at:.3f}, "
+            f"ran at {runs}, {result}"
+        )
+        return result, request
 
     def drop(self, flow):
         self.flows.pop((*flow.to, flow.port), None)
@@ -808,6 +821,7 @@
         self.targets = []
         self.callers = []
         self.sent = set()
+        self.ended = set()
         self.version = 3
         self.routes = {}  # (ip, port) -> (type, service)
         self.tasks = []
@@ -822,7 +836,9 @@
         return f"127.{self.net}.{part}.{number + 1}"
 
     def on_run(self, target, request):
-        self.runs.setdefault(request, []).append(target.id)
+        self.runs.setdefault(request, []).append(f"{target.id} at {self.record.now():.3f}")
+        if request in self.ended:
+            self.record.note(f"request {request} runs at {target.id} after its caller gave it up")
         if request not in self.sent:
             self.record.breach("UNASKED", f"{target.id} ran {request}, which nobody sent")
 
@@ -914,6 +930,10 @@
                 return target
         return None
 
+    @staticmethod
+    def text_of(address):
+        return f"{address[0]}:{address[1]}"
+
     def name_of(self, ip):
         return next((host.name for host in self.hosts if host.ip == ip), ip)
 
@@ -934,7 +954,9 @@
                 async with asyncio.timeout(0.45):
                     reader, writer = await asyncio.open_connection(host.ip, READY_PORT)
                     try:
-                        writer.write(b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                        writer.write(
+                            b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                        )
                         ready = b" 200 " in await reader.readline()
                     finally:
                         writer.close()
@@ -1003,5 +1025,6 @@
     finally:
         shutil.rmtree(scratch, ignore_errors=True)
     record.note(f"exit code {code}, {len(record.broken)} breaches")
+    record.close()
     print(f"exit code {code}, {len(record.broken)} breaches; see record.txt")
     sys.exit(code)
