Keep open flows of routes that a host does not know yet

Callers lost open flows, and requests that may not be repeated with them: a host that had just started, or one that had missed a change, reset every packet to an address for which its configuration had no route, although another host had opened the flow on a route that was just added.

A missing route says nothing about an open flow as long as the configuration may be older than the flow, and no host can be sure that it is not. Packets of open flows now follow their route token, which needs no route, and are reset only by a host that has seen the route withdrawn. A target that does not hold the flow resets it, so nothing runs by this. New flows for which a host that has just started lacks a route or a target are dropped until a report of a host that reaches the store, or an answer of the store, shows that it is up to date; callers send copies of these packets. An abandoned watch no longer counts as an answer of the store.

--- a/packages/godwitway-standins/tests/test_operator_faults.py
+++ b/packages/godwitway-standins/tests/test_operator_faults.py
@@ -10,7 +10,7 @@
 from world_play import READY_S, events_of, play, state_after_start, state_of, wait_until
 
 from godwitway_standins.flows import FlowWorld
-from godwitway_standins.flows._world import KINDS
+from godwitway_standins.flows._world import EXTRA_NET, KINDS, SERVICE_PORT
 
 STOP_S = 8.0  # The grace period of 6 s, and time for the process to end.
 
@@ -93,6 +93,35 @@
 
         play(tmp_path, 72, scenario)
 
+    def test_open_flows_of_a_route_added_during_a_start_are_not_reset(self, tmp_path):
+        """Routers move them to the started host, which has not learned of the route yet."""
+
+        async def scenario(world):
+            host, other = world.hosts[:2]
+            caller = world.prober.callers[other.name]
+            for number in range(1, 6):
+                await asyncio.sleep(1.0)
+                host.kill()
+                host.start()
+                while len(events_of(host, "listed")) <= number:
+                    await asyncio.sleep(0.002)
+                world.extra_routes = number
+                world.configure()
+                while events_of(other, "config_in_force")[-1]["version"] < world.version:
+                    await asyncio.sleep(0.002)
+                caller.zone = other.name
+                to = (f"{EXTRA_NET}{number}", SERVICE_PORT)
+                deadline = asyncio.get_running_loop().time() + KINDS["board"].deadline_s
+                attempt = await caller.open(to, deadline)
+                assert attempt.opened
+                caller.kept[to] = attempt
+                caller.zone = host.name  # The caller sends its packets to this host from now on.
+                outcome = await caller.request(KINDS["board"], to)
+                assert (outcome.result, len(outcome.attempts)) == ("served", 1)
+            assert not events_of(host, "reset")
+
+        play(tmp_path, 75, scenario)
+
 
 class TestSilence:
     """A host that is only silent for a while."""
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -210,6 +210,22 @@
         )
         return True
 
+    def confirm_view(self, reason: str) -> None:
+        """Record that this host's configuration is up to date, or as recent as it can be known.
+
+        Args:
+            reason: What showed this, for the log: ``watch``, ``report`` or ``timeout``.
+        """
+        if self.steering.is_current or self.catalog.config is None:
+            return
+        self.steering.is_current = True
+        self.journal.event(
+            "view_current",
+            reason=reason,
+            version=self.config_version(),
+            took_s=round(self.now() - self.started_at, 3),
+        )
+
     def update_rotation(self) -> None:
         """Decide whether to be in rotation; the next report informs the other hosts."""
         self.rotation.update()
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -30,8 +30,8 @@
         store: The store.
         replica: The replica to keep complete.
         should_watch: Returns whether this host is elected to watch the store.
-        on_store_call: Called with False after a failed call, and with True after any other, also
-            after an abandoned watch; not called after a `CompactedError`.
+        on_store_call: Called with False after a failed call, and with True after a listing or a
+            watch was applied; not called after an abandoned watch or a `CompactedError`.
         on_changes: Called with the changes that a watch returned while this host is elected.
         is_connected: The value that `on_store_call` was last called with; initially True.
         is_watching: Whether this host was elected when that was last checked.
@@ -99,7 +99,6 @@
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
                 continue
             backoff_s = FIRST_BACKOFF_S
-            self.record_answer()
             if has_changes:
                 await asyncio.sleep(COALESCE_S)
 
@@ -133,6 +132,7 @@
             apply_listing(self.replica, listing, self.metrics, self.journal)
             self.replica.advertise_deletions()
             self.needs_listing = False
+            self.record_answer()
             return True
         self.wake_event.clear()
         base = self.replica.position
@@ -146,7 +146,9 @@
                 call.cancel()
         if not call.done():
             return False
-        return self.apply_changes(base, call.result())
+        has_changes = self.apply_changes(base, call.result())
+        self.record_answer()
+        return has_changes
 
     def apply_changes(self, base: StorePosition, changes: Changes) -> bool:
         """Apply the answer to a watch, and pass the changes on if this host is elected.
@@ -181,10 +183,7 @@
             self.journal.event("store_lost", call="watch", reason=reason)
 
     def record_answer(self) -> None:
-        """Record a call that did not fail, and log the first one after failures.
-
-        An abandoned watch counts as such a call.
-        """
+        """Record an answer that was applied, and log the first one after failures."""
         self.on_store_call(True)
         if not self.is_connected:
             self.is_connected = True
--- a/packages/godwitway/src/godwitway/steering/_model.py
+++ b/packages/godwitway/src/godwitway/steering/_model.py
@@ -34,7 +34,8 @@
     """Why a caller's flow is reset.
 
     Attributes:
-        NO_ROUTE: The configuration has no route for the destination address.
+        NO_ROUTE: The configuration has no route for the destination address. An open flow is reset
+            for this only if the route was withdrawn.
         NO_TARGET: There is no target for a new flow.
         OVERLOADED: A new flow would wait too long at the service's targets.
         TARGET_LEFT: The flow's target has been removed.
@@ -54,7 +55,8 @@
     Attributes:
         FORGED: It has flags that only a target may send.
         NO_CONFIGURATION: This host has no configuration yet.
-        NOT_READY: It opens a flow, and this host does not know the targets yet.
+        NOT_READY: It opens a flow, and this host has just started: it does not know the targets
+            yet, or may lack the route or the target only because its view is not up to date.
         UNKNOWN_TOKEN: Its route token is 0, unknown, or that of another service's target.
         EARLIER_FLOW: Its ports have been used again for another flow, and its target has left.
         FLOW_RESET: Its flow was reset shortly before, or the packet is itself a reset.
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -39,6 +39,8 @@
 CHANGES_PATH = "/changes/"
 CONFIG_PATH = "/config"
 CONFIG_FETCH_INTERVAL_S = 1.0  # Two attempts within the 3 s in which a change must take effect.
+# A change that a starting host has not heard of by then is not in force at the others either.
+VIEW_TIMEOUT_S = 3.0
 CATCH_UP_DELAY_S = 0.25  # Spreads the requests of a zone's hosts to the one that has the changes.
 ROTATION_EXIT_S = 1.2  # Routers take a host out of rotation after two probes, half a second apart.
 QUIET_PERIOD_S = 0.5  # After this long without a packet of a caller, none is on its way.
@@ -125,7 +127,7 @@
             connections.create_store(core.settings, core.metrics),
             core.replica,
             core.watches_store,
-            core.peers.record_store_call,
+            self.record_feed_call,
             core.peers.push_changes,
             core.rng,
             core.metrics,
@@ -302,11 +304,18 @@
             )
         return self.core.catalog.config is not None
 
+    def record_feed_call(self, was_answered: bool) -> None:
+        """Record a call of the store by the feed, whose answer brings this host up to date."""
+        self.core.peers.record_store_call(was_answered)
+        if was_answered:
+            self.core.confirm_view("watch")
+
     def compare_revisions(self, peer: PeerState) -> None:
         """Start catching up if a peer advertises a position that this host has not reached.
 
         A peer without such a position but with a newer configuration has it from before the store
-        was restored from a copy. The configuration is then fetched from the peer.
+        was restored from a copy. The configuration is then fetched from the peer. A peer that
+        reaches the store and has nothing newer confirms this host's view.
         """
         if peer.advertised_position > self.replica.position:
             if not self.is_catching_up:
@@ -315,6 +324,8 @@
         elif peer.config_version > self.core.config_version() and not self.is_fetching_config:
             self.is_fetching_config = True
             self.spawn(self.fetch_newer_config(peer))
+        elif peer.reaches_store:
+            self.core.confirm_view("report")
 
     async def fetch_config(self, address: Address) -> None:
         """Fetch the configuration that another host has in force, and apply it.
@@ -382,6 +393,8 @@
             last, last_boot = now, boot
             ticks += 1
             self.core.start_serving()
+            if now - self.core.started_at > VIEW_TIMEOUT_S:
+                self.core.confirm_view("timeout")
             self.core.expire_state()
             self.prober.probe_suspected_targets()
             self.core.update_rotation()
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -87,6 +87,8 @@
         journal: The event log.
         is_ready: Whether the configuration and the targets are known; opening packets are dropped
             before.
+        is_current: Whether the configuration has been up to date at some time since this process
+            started. Until then a route may be missing only because this host has just started.
         impaired_at: When this host was last too slow, or its link too full, to judge targets.
         on_stall: Called with a target at which a flow makes no progress.
         on_suspicion: Called with a target that this host has begun to suspect after a health probe.
@@ -125,6 +127,7 @@
         self.on_stall: Callable[[Target], None] = lambda target: None
         self.on_suspicion: Callable[[Target], None] = lambda target: None
         self.is_ready = False
+        self.is_current = False
         self.impaired_at = NEVER_S
         self.last_packet_at = now()
         self.last_progress_at = now()
@@ -140,12 +143,46 @@
             return
         route = self.catalog.routes.get(packet.service_address)
         if route is None:
-            self.answer_with_reset(packet, ResetReason.NO_ROUTE)
+            self.handle_unrouted_packet(packet)
         elif packet.opening:
             self.open_flow(packet, route, now)
         else:
             self.handle_later_packet(packet, route, now)
 
+    def handle_unrouted_packet(self, packet: FlowPacket) -> None:
+        """Handle a packet to an address for which this host's configuration has no route.
+
+        A change of the configuration reaches hosts at different times, so the flow may be open on a
+        route that another host already has. It is reset only if this host knows that the route was
+        withdrawn; otherwise its packets follow their route token.
+        """
+        if packet.service_address in self.catalog.withdrawn_routes:
+            self.answer_with_reset(packet, ResetReason.NO_ROUTE)
+            return
+        if packet.opening:
+            self.refuse_opening(packet, ResetReason.NO_ROUTE)
+            return
+        target = self.catalog.by_token.get(packet.token)
+        if target is None:
+            self.drop_packet(DropReason.UNKNOWN_TOKEN)
+        elif target.id in self.catalog.departed_at:
+            self.answer_with_reset(packet, ResetReason.TARGET_LEFT, target)
+        else:
+            self.metrics.count("packets_unrouted")
+            self.journal.event("unrouted", packet.flow_key, target=target.id)
+            self.packet_io.forward(packet, target)
+
+    def refuse_opening(self, packet: FlowPacket, reason: ResetReason) -> None:
+        """Reset a new flow for which this host lacks something.
+
+        The packet is dropped while this host may lack it only because it has just started. The
+        caller sends copies of the packet.
+        """
+        if self.is_current:
+            self.answer_with_reset(packet, reason)
+        else:
+            self.drop_packet(DropReason.NOT_READY)
+
     def drop_packet(self, reason: DropReason) -> None:
         """Count a packet that is dropped without an answer."""
         self.metrics.count("packets_dropped", reason.value)
@@ -175,7 +212,7 @@
             tried = list(flow.tried_targets)
         target = self.choose_flow_target(route, tried, now)
         if target is None:
-            self.answer_with_reset(packet, ResetReason.NO_TARGET)
+            self.refuse_opening(packet, ResetReason.NO_TARGET)
             return
         # A repeated opening packet is not refused: its first target may still answer it.
         if not tried and not self.is_admitted(route, target, now):
--- a/packages/godwitway/tests/steering/test_feed.py
+++ b/packages/godwitway/tests/steering/test_feed.py
@@ -132,6 +132,21 @@
             harness.feed.apply_changes(at(4), Changes(at(5), [WatchEvent("k/b", b"2", 5)]))
         assert harness.replica.position == at(4, era=2)
 
+    def test_an_abandoned_watch_says_nothing_about_the_store(self):
+        """Its connection may be dead, as after a pause of the process."""
+        harness = FeedHarness()
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
+        calls = []
+        harness.feed.on_store_call = calls.append
+
+        async def changes(prefix, revision, wait_s):
+            harness.feed.restart_watch()
+            await asyncio.sleep(30.0)
+
+        harness.store.changes = changes
+        assert not asyncio.run(harness.feed.poll_store())
+        assert calls == []
+
     def test_a_requested_poll_calls_the_store_once_without_an_election(self):
         """The link of the host that was asked may be too slow for the changes."""
         harness = FeedHarness()
--- a/packages/godwitway/tests/steering/test_node.py
+++ b/packages/godwitway/tests/steering/test_node.py
@@ -1,6 +1,7 @@
 """Tests of what a host fetches from other hosts and serves to them, without sockets."""
 
 import asyncio
+from typing import Any
 
 from steering_builders import at, build_config, build_core, build_report
 
@@ -30,12 +31,20 @@
     return SteeringNode(core, NoConnections())
 
 
-def receive_reports(node: SteeringNode, zone: str, hosts: range, revision: int = 40) -> None:
-    """Deliver a report of each numbered host of a zone, which advertises a revision."""
+def receive_reports(
+    node: SteeringNode, zone: str, hosts: range, revision: int = 40, **fields: Any
+) -> None:
+    """Deliver a report of each numbered host of a zone, which advertises a revision.
+
+    `fields` replace further fields of the reports.
+    """
     for number in hosts:
         (datagram,) = encode_report(
             build_report(
-                boot_id=100 + number, zone_hash=hash_zone(zone), advertised_position=at(revision)
+                boot_id=100 + number,
+                zone_hash=hash_zone(zone),
+                advertised_position=at(revision),
+                **fields,
             )
         )
         node.core.peers.handle_datagram(datagram, (f"10.{ord(zone)}.0.{number}", 7))
@@ -98,6 +107,43 @@
         assert node.feed.poll_requested
 
 
+class TestCurrentView:
+    """When a host that has started takes its configuration for up to date."""
+
+    def test_a_report_of_a_host_that_has_nothing_newer_confirms_it(self):
+        """The store is not called for this."""
+        node = build_node()
+        node.core.peers.on_report = node.compare_revisions
+        node.core.catalog.config.version = 3  # As in the reports.
+        receive_reports(node, "a", range(1, 2), revision=9)
+        assert node.core.steering.is_current
+
+    def test_a_report_that_advertises_a_later_change_does_not(self):
+        """The change may be the route of a flow that is already open."""
+        node = build_node()
+        node.core.peers.on_report = node.compare_revisions
+        node.core.catalog.config.version = 3  # As in the reports.
+        node.spawn = lambda job: job.close()
+        receive_reports(node, "a", range(1, 2), revision=10)
+        assert not node.core.steering.is_current
+
+    def test_a_report_of_a_host_that_does_not_reach_the_store_does_not(self):
+        """That host may lack the same change."""
+        node = build_node()
+        node.core.peers.on_report = node.compare_revisions
+        node.core.catalog.config.version = 3  # As in the reports.
+        receive_reports(node, "a", range(1, 2), revision=9, reaches_store=False)
+        assert not node.core.steering.is_current
+
+    def test_an_answer_of_the_store_confirms_it(self):
+        """A host without others has no reports."""
+        node = build_node()
+        node.record_feed_call(False)
+        assert not node.core.steering.is_current
+        node.record_feed_call(True)
+        assert node.core.steering.is_current
+
+
 class TestChangesSince:
     """The differences that a host serves to others."""
 
--- a/packages/godwitway/tests/steering/test_steering.py
+++ b/packages/godwitway/tests/steering/test_steering.py
@@ -6,6 +6,8 @@
 from godwitway.steering import RequestKind, Route
 from godwitway.steering._catalog import Catalog, route_token
 
+BID_ROUTE = Route("bid", BID, RequestKind.AT_MOST_ONCE, [("desk", 1)], 1, 0.3, 2.0)
+
 
 class TestOpening:
     """Opening packets of flows."""
@@ -84,6 +86,62 @@
         assert max(counts) - min(counts) <= 1
 
 
+class TestRoutesNotKnownYet:
+    """Packets of a route that other hosts have, and this one does not know yet.
+
+    Hosts used to reset the open flows of such a route, above all those that had just started.
+    """
+
+    def build_harness(self, is_current: bool) -> SteeringHarness:
+        """Return a host whose configuration lacks the route of `BOARD`."""
+        harness = SteeringHarness(build_target(1), config=build_config(routes=[BID_ROUTE]))
+        harness.steering.is_current = is_current
+        return harness
+
+    @pytest.mark.parametrize("is_current", [False, True])
+    def test_packets_of_an_open_flow_are_forwarded_by_their_token(self, is_current):
+        """A running host may learn of the route later than the others, too."""
+        harness = self.build_harness(is_current)
+        harness.receive_packet(flow=b"flow-1", token=route_token("i-0001"), sequence=1, length=10)
+        assert [target.id for _, target in harness.packet_io.forwarded] == ["i-0001"]
+        assert not harness.packet_io.resets
+        assert not harness.steering.flow_table.flows
+
+    @pytest.mark.parametrize("is_current", [False, True])
+    def test_packets_with_an_unknown_token_are_dropped(self, is_current):
+        """Their target may be as new as the route; the caller repeats them."""
+        harness = self.build_harness(is_current)
+        harness.receive_packet(flow=b"flow-1", token=route_token("i-0009"), sequence=1, length=10)
+        assert not harness.packet_io.forwarded
+        assert not harness.packet_io.resets
+
+    def test_flows_of_a_target_that_left_are_reset(self):
+        """Their caller can try again, and nothing answers them any more."""
+        harness = self.build_harness(is_current=True)
+        harness.steering.catalog.remove_target("i-0001", harness.clock.now())
+        harness.receive_packet(flow=b"flow-1", token=route_token("i-0001"), sequence=1, length=10)
+        assert harness.events("reset")[0]["reason"] == "target_left"
+
+    def test_new_flows_are_dropped_by_a_host_that_is_not_current(self):
+        """The caller sends copies of the opening packet, when the route may be known."""
+        harness = self.build_harness(is_current=False)
+        harness.receive_packet(flow=b"flow-1", opening=True)
+        assert not harness.packet_io.resets
+
+    def test_new_flows_without_targets_are_dropped_by_a_host_that_is_not_current(self):
+        """The service may be new, with targets that this host does not know yet."""
+        harness = SteeringHarness()
+        harness.steering.is_current = False
+        harness.receive_packet(flow=b"flow-1", opening=True)
+        assert not harness.packet_io.resets
+
+    def test_new_flows_are_refused_by_a_host_that_is_current(self):
+        """As far as is known there is no such route, so the caller is told at once."""
+        harness = self.build_harness(is_current=True)
+        harness.receive_packet(flow=b"flow-1", opening=True)
+        assert harness.events("reset")[0]["reason"] == "no_route"
+
+
 class TestLaterPackets:
     """Packets of open flows."""
 
@@ -119,11 +177,17 @@
         """Its callers are informed at once, not by a timeout."""
         harness = SteeringHarness(build_target(1))
         target = harness.open_flow(b"flow-1")
-        routes = [Route("bid", BID, RequestKind.AT_MOST_ONCE, [("desk", 1)], 1, 0.3, 2.0)]
-        harness.steering.catalog.apply_config(build_config(2, routes=routes))
+        harness.steering.catalog.apply_config(build_config(2, routes=[BID_ROUTE]))
         harness.send_request(b"flow-1", target)
         assert harness.packet_io.resets[0].flow_key == b"flow-1"
 
+    def test_a_withdrawn_route_resets_flows_that_other_hosts_forwarded(self):
+        """This host has no record of them, but has seen the route go."""
+        harness = SteeringHarness(build_target(1))
+        harness.steering.catalog.apply_config(build_config(2, routes=[BID_ROUTE]))
+        harness.receive_packet(flow=b"flow-1", token=route_token("i-0001"), sequence=1, length=10)
+        assert harness.packet_io.resets[0].flow_key == b"flow-1"
+
     def test_flows_of_a_target_that_left_are_reset(self):
         """Whatever uses its address now has no state of them."""
         harness = SteeringHarness(build_target(1), build_target(2))
@@ -281,6 +345,25 @@
         assert not catalog.apply_config(build_config(4))
         assert catalog.config.version == 5
 
+    def test_withdrawn_routes_are_remembered_until_they_return(self):
+        """A configuration that adds a route again makes its flows legitimate again."""
+        catalog = Catalog()
+        catalog.apply_config(build_config(1))
+        catalog.apply_config(build_config(2, routes=[BID_ROUTE]))
+        assert catalog.withdrawn_routes.keys() == {BOARD, CATALOGUE}
+        catalog.apply_config(build_config(3))
+        assert not catalog.withdrawn_routes
+
+    def test_few_withdrawn_routes_are_remembered(self, monkeypatch):
+        """Routes come and go for as long as a process runs."""
+        monkeypatch.setattr("godwitway.steering._catalog.MAX_WITHDRAWN_ROUTES", 2)
+        catalog = Catalog()
+        for number in range(1, 6):
+            key = b"route-%d" % number
+            route = Route("new", key, RequestKind.IDEMPOTENT, [("desk", 1)], 1, 0.3, 2.0)
+            catalog.apply_config(build_config(number, routes=[route]))
+        assert list(catalog.withdrawn_routes) == [b"route-3", b"route-4"]
+
     def test_colliding_tokens_are_made_distinct(self, monkeypatch):
         """Two targets never share a token."""
         monkeypatch.setattr(
--- a/packages/godwitway/tests/steering_builders.py
+++ b/packages/godwitway/tests/steering_builders.py
@@ -193,7 +193,7 @@
             Metrics(),
             Journal("host-1", self.clock.now, self.lines.append, bytes.hex),
         )
-        self.steering.is_ready = True
+        self.steering.is_ready = self.steering.is_current = True
 
     def receive_packet(self, after_s: float = 0.0, **fields: Any) -> None:
         """Advance the clock and let a packet arrive."""
