Let all hosts learn of a change in time if the watching hosts get no response

Callers were sent to targets that had been draining for more than 3 s, and a new configuration was in force too late, at hosts that nothing disturbed: the store left the two hosts that watch it for all without a response, and the others learned of it up to 4.1 s after a change.

No one had added up the chain: the pause after changes, a watch that is given up, the report that the store is lost, the election, the next watch, and the fetch of a change that fits into no datagram. The same chain began again when those that took over got no response either. A host that started without a response claimed to reach the store and was given the watch, and a zone's leader that lost the store fell silent for the other zones in place of telling them.

A watch is now held for 0.6 s and given up 0.5 s later unless a response has begun; the first one after an election is held for 0.05 s. A lost store and a new change are reported with the next report, twice, also to other zones. A host claims to reach the store after its first response.

--- a/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
@@ -16,6 +16,7 @@
 ERA_HEADER = "Store-Era"
 FOREVER_S = 3_600.0
 CLOSE_S = 0.1
+MIN_WAIT_S = 0.001  # A shorter wait may not move the clock of a virtual event loop.
 
 
 @dataclass(slots=True)
@@ -229,7 +230,7 @@
                 if revision > after and key.startswith(prefix)
             ]
             left = deadline - asyncio.get_running_loop().time()
-            if events or left <= 0:
+            if events or left < MIN_WAIT_S:
                 return 200, {"events": events, "store-revision": self.revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -71,18 +71,30 @@
         self.writer: asyncio.StreamWriter | None = None
 
     async def request(
-        self, method: str, target: str, body: bytes, timeout_s: float
+        self, method: str, target: str, body: bytes, timeout_s: float, transfer_s: float = 0.0
     ) -> HttpResponse:
         """Send a request and return its response; the connection is closed on any failure.
 
+        Args:
+            method: The HTTP method.
+            target: The path with the query.
+            body: The body, empty for none.
+            timeout_s: The longest time in seconds to wait for the response.
+            transfer_s: If not 0, the longest time in seconds for the rest of the response after its
+                first bytes; `timeout_s` then ends with these.
+
         Raises:
             HttpError: The connection failed, or the response did not arrive in time.
         """
         try:
             if self.writer is None:
                 await self.open()
-            async with asyncio.timeout(timeout_s):
-                return await self.send_and_receive(method, target, body)
+            async with asyncio.timeout(timeout_s) as limit:
+                self.writer.write(encode_request(self.address, method, target, body))
+                first = await self.reader.read(READ_CHUNK_BYTES)
+                if transfer_s:
+                    limit.reschedule(asyncio.get_running_loop().time() + transfer_s)
+                return await self.receive_response(first)
         except (OSError, TimeoutError, httptools.HttpParserError) as error:
             self.close()
             raise HttpError(f"{method} {target}: {type(error).__name__} {error}") from error
@@ -101,16 +113,17 @@
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         enable_keepalive(self.writer)
 
-    async def send_and_receive(self, method: str, target: str, body: bytes) -> HttpResponse:
-        """Write one request and read its response."""
-        self.writer.write(encode_request(self.address, method, target, body))
+    async def receive_response(self, data: bytes) -> HttpResponse:
+        """Read a response whose first bytes are `data`, empty at the end of the connection."""
         message = MessageCollector()
         parser = httptools.HttpResponseParser(message)
-        while not message.complete:
-            data = await self.reader.read(READ_CHUNK_BYTES)
+        while True:
             if not data:
                 raise ConnectionResetError("the server closed the connection")
             parser.feed_data(data)
+            if message.complete:
+                break
+            data = await self.reader.read(READ_CHUNK_BYTES)
         if not parser.should_keep_alive():
             self.close()
         return HttpResponse(parser.get_status_code(), b"".join(message.body_parts), message.headers)
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -21,7 +21,7 @@
 from godwitway.steering._rotation import Rotation
 from godwitway.steering._settings import SteeringSettings
 from godwitway.steering._steering import PacketIO, Steering
-from godwitway.store import RangeResult, StorePosition
+from godwitway.store import RangeResult, StoreError, StorePosition
 
 __all__ = ["Formats", "SteeringCore"]
 
@@ -191,6 +191,17 @@
         apply_listing(self.replica, listing, self.metrics, self.journal)
         return self.start_serving()
 
+    def record_listing(self, listing: RangeResult) -> None:
+        """Apply a listing at the start, which also shows that the store responds to this host."""
+        self.peers.record_store_call(True)
+        self.apply_listing(listing)
+
+    def record_failed_listing(self, call: str, error: StoreError) -> None:
+        """Count and log a listing at the start to which the store gave no usable response."""
+        self.peers.record_store_call(False)
+        self.metrics.count("store_errors", "start")
+        self.journal.event("store_lost", call=call, reason=str(error))
+
     def start_serving(self) -> bool:
         """Start to serve if there is a configuration; returns whether there is one.
 
--- a/packages/godwitway/src/godwitway/steering/_feed.py
+++ b/packages/godwitway/src/godwitway/steering/_feed.py
@@ -12,10 +12,13 @@
 
 __all__ = ["StoreFeed"]
 
-# A few hosts watch for all others, which hear of no change while the watches are dead connections.
-# Ended watches cost the store half a call a second for each of these hosts.
-WATCH_WAIT_S = 2.0
-COALESCE_S = 0.4  # Collects the events of one planned change into one call.
+# A few hosts watch for all others, which hear of no change while the store answers none of these.
+# That is noticed at the end of a watch; see "From a change to the last host" in docs/DESIGN.md.
+WATCH_WAIT_S = 0.6
+# Of the first watch after an election or a request to poll: the host may lack changes already, and
+# the store may give it no response either.
+FIRST_WATCH_WAIT_S = 0.05
+COALESCE_S = 0.25  # Collects the events of one planned change into one call.
 FIRST_BACKOFF_S = 0.2  # Fifty times the store's usual response time of 4 ms.
 # Leaves 2 s, after the store's return, of the 3 s within which a change must take effect.
 MAX_BACKOFF_S = 1.0
@@ -82,12 +85,16 @@
         backoff_s = FIRST_BACKOFF_S
         await asyncio.sleep(START_DELAY_S * self.rng.uniform(0.7, 1.3))
         while True:
+            was_watching = self.is_watching
             if not self.update_election() and not self.poll_requested:
                 await asyncio.sleep(ELECTION_INTERVAL_S)
                 continue
+            is_first = self.poll_requested or not was_watching
             self.poll_requested = False
             try:
-                has_changes = await self.poll_store()
+                has_changes = await self.poll_store(
+                    FIRST_WATCH_WAIT_S if is_first else WATCH_WAIT_S
+                )
             except CompactedError:
                 self.metrics.count("store_compactions")
                 self.journal.event("history_lost", revision=self.replica.position.revision)
@@ -115,8 +122,11 @@
                 self.replica.advertise_deletions()
         return is_watching
 
-    async def poll_store(self) -> bool:
-        """List all keys, or wait up to `WATCH_WAIT_S` for changes, and apply the answer.
+    async def poll_store(self, wait_s: float = WATCH_WAIT_S) -> bool:
+        """List all keys, or watch for changes, and apply the answer.
+
+        Args:
+            wait_s: How long in seconds the store holds a watch open while there are no changes.
 
         Returns:
             True after a listing, or if the watch returned changes; False after a timeout or
@@ -136,7 +146,7 @@
             return True
         self.wake_event.clear()
         base = self.replica.position
-        call = asyncio.ensure_future(self.store.changes("", base.revision, WATCH_WAIT_S))
+        call = asyncio.ensure_future(self.store.changes("", base.revision, wait_s))
         waking = asyncio.ensure_future(self.wake_event.wait())
         try:
             await asyncio.wait([call, waking], return_when=asyncio.FIRST_COMPLETED)
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -243,10 +243,11 @@
     async def list_store(self) -> None:
         """Apply a listing of the store; a call that fails is logged."""
         try:
-            self.core.apply_listing(await self.store.range(""))
+            listing = await self.store.range("")
         except StoreError as error:
-            self.metrics.count("store_errors", "start")
-            self.journal.event("store_lost", call="range", reason=str(error))
+            self.core.record_failed_listing("range", error)
+        else:
+            self.core.record_listing(listing)
 
     async def fetch_from_hosts(self) -> None:
         """Fetch changes from a few hosts, and use the first answer that has a configuration.
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -95,11 +95,17 @@
             this host's advertised position.
         in_rotation: Whether this host answers routers' readiness probes positively.
         zone_short: Whether this host finds its zone cut off from the others and short of slots.
-        reaches_store: Whether this host's last store call was answered.
+        reaches_store: Whether this host's last store call was answered; False before the first
+            one, so that a host that starts while the store does not respond to it is not elected.
         store_retry: Decides when to try the store again after a call that was not answered.
         recent_changes: The ids of the targets whose loads changed before each of the latest
             reports, latest first.
         report_ticks: How many times `send_report` was called.
+        reported_state: The configuration's version, the advertised position and `reaches_store` in
+            the latest report, None before the first one.
+        urgent_reports: How many of the next reports are sent although no load has changed, because
+            `reported_state` has.
+        latest_remote: The hosts outside the group that the latest report to such hosts went to.
     """
 
     def __init__(
@@ -130,10 +136,13 @@
         self.on_report: Callable[[PeerState], None] = lambda peer: None
         self.in_rotation = False
         self.zone_short = False
-        self.reaches_store = True
+        self.reaches_store = False
         self.store_retry = StoreRetry(rng)
         self.recent_changes: list[set[str]] = [set()] * REPORTS_PER_CHANGE
         self.report_ticks = 0
+        self.reported_state: tuple[int, StorePosition, bool] | None = None
+        self.urgent_reports = 0
+        self.latest_remote: list[Address] = []
 
     def apply_member_change(self, key: str, value: bytes | None, revision: int) -> None:
         """Apply a change of a host's key in the store.
@@ -306,10 +315,19 @@
         """Send the loads that changed, and every `FULL_REPORT_TICKS` calls all loads.
 
         Called every `REPORT_INTERVAL_S`. Nothing is sent if no load changed since the last reports
-        and no full report is due. Full reports also include all targets that this host suspects. A
-        group leader also sends each full report to the other groups, without loads.
+        and no full report is due, unless `reported_state` has changed: other hosts then have to
+        fetch a change, or to watch the store in place of this host. Full reports also include all
+        targets that this host suspects. A group leader also sends each full report, and each one
+        with such a change, to the other groups, without loads.
         """
         self.report_ticks += 1
+        config_version, advertised_position = self.get_reported_versions()
+        state = (config_version, advertised_position, self.reaches_store)
+        if self.reported_state not in (None, state):
+            self.urgent_reports = REPORTS_PER_CHANGE
+        self.reported_state = state
+        is_urgent = self.urgent_reports > 0
+        self.urgent_reports = max(0, self.urgent_reports - 1)
         is_full = self.report_ticks % FULL_REPORT_TICKS == 0
         if is_full:
             self.clear_silent_loads()
@@ -319,9 +337,8 @@
         target_ids = set().union(*self.recent_changes)
         if is_full:
             target_ids |= flow_table.loads.keys() | self.suspected_targets()
-        if not target_ids and not is_full:
+        if not target_ids and not is_full and not is_urgent:
             return
-        config_version, advertised_position = self.get_reported_versions()
         loads = [
             entry for target_id in target_ids if (entry := self.load_entry(target_id)) is not None
         ]
@@ -338,11 +355,25 @@
         recipients = self.report_recipients()
         for datagram in encode_report(report):
             self.send_all(datagram, recipients)
-        remote = self.remote_recipients(self.steering.now()) if is_full else []
-        if remote:
-            report.loads = []
-            for datagram in encode_report(report):
-                self.send_all(datagram, remote)
+        if is_full or is_urgent:
+            self.report_to_remote(report, is_urgent)
+
+    def report_to_remote(self, report: Report, is_urgent: bool) -> None:
+        """Send a report without its loads to the hosts outside this host's group.
+
+        Args:
+            report: The report; its loads are removed.
+            is_urgent: Whether to include the recipients of the last such report. A host that no
+                longer reaches the store may not be a leader any more, and those that counted on it
+                have to know why they hear no more from it.
+        """
+        recipients = self.remote_recipients(self.steering.now())
+        previous, self.latest_remote = self.latest_remote, recipients
+        if is_urgent:
+            recipients = list(dict.fromkeys(recipients + previous))
+        report.loads = []
+        for datagram in encode_report(report):
+            self.send_all(datagram, recipients)
 
     def send_all(self, datagram: bytes, addresses: list[Address]) -> None:
         """Send a datagram to each address."""
--- a/packages/godwitway/tests/steering/test_core.py
+++ b/packages/godwitway/tests/steering/test_core.py
@@ -3,7 +3,7 @@
 from steering_builders import at, build_core, build_target
 
 from godwitway.steering._catalog import DEPARTED_RETENTION_S
-from godwitway.store import KeyValue
+from godwitway.store import KeyValue, RangeResult, StoreError
 
 
 class TestExpiry:
@@ -44,6 +44,19 @@
         assert token not in core.catalog.by_token
 
 
+class TestStart:
+    """What a host that starts tells the others about the store."""
+
+    def test_it_claims_to_reach_the_store_only_after_a_response(self):
+        """Hosts that watch the store give the watch up to those with a lower rank that reach it."""
+        core, _ = build_core()
+        assert not core.peers.reaches_store
+        core.record_failed_listing("range", StoreError("timed out"))
+        assert not core.peers.reaches_store
+        core.record_listing(RangeResult(9, [], 1))
+        assert core.peers.reaches_store
+
+
 class TestUnexpectedErrors:
     """Errors that no decoder foresees."""
 
--- a/packages/godwitway/tests/steering/test_feed.py
+++ b/packages/godwitway/tests/steering/test_feed.py
@@ -8,7 +8,12 @@
 
 from godwitway.journal import Journal
 from godwitway.metrics import Metrics
-from godwitway.steering._feed import COALESCE_S, StoreFeed
+from godwitway.steering._feed import (
+    COALESCE_S,
+    FIRST_WATCH_WAIT_S,
+    WATCH_WAIT_S,
+    StoreFeed,
+)
 from godwitway.store import (
     Changes,
     CompactedError,
@@ -132,6 +137,30 @@
             harness.feed.apply_changes(at(4), Changes(at(5), [WatchEvent("k/b", b"2", 5)]))
         assert harness.replica.position == at(4, era=2)
 
+    def test_the_first_watch_after_an_election_is_short(self):
+        """The store may give this host no response either, and others have to take over."""
+        harness = FeedHarness()
+        harness.replica.apply_listing(harness.store.listing.items, at(9))
+        waits = []
+
+        async def changes(prefix, revision, wait_s):
+            waits.append(wait_s)
+            if len(waits) == 3:
+                harness.is_elected = False
+            await asyncio.sleep(0.01)
+            return Changes(at(9), [])
+
+        harness.store.changes = changes
+
+        async def run_feed():
+            task = asyncio.ensure_future(harness.feed.run())
+            while harness.is_elected:
+                await asyncio.sleep(0.01)
+            task.cancel()
+
+        asyncio.run(asyncio.wait_for(run_feed(), 30.0))
+        assert waits == [FIRST_WATCH_WAIT_S, WATCH_WAIT_S, WATCH_WAIT_S]
+
     def test_an_abandoned_watch_says_nothing_about_the_store(self):
         """Its connection may be dead, as after a pause of the process."""
         harness = FeedHarness()
--- a/packages/godwitway/tests/steering/test_groups.py
+++ b/packages/godwitway/tests/steering/test_groups.py
@@ -150,6 +150,7 @@
         harness.steering.peer_load_totals = peers.peer_load_totals
         harness.steering.groups = peers.groups
         peers.send = lambda datagram, to: self.deliver(datagram, own, to)
+        peers.record_store_call(True)  # Each host has listed the store.
         self.hosts[own] = peers
 
     def deliver(self, datagram: bytes, source: tuple[str, int], to: tuple[str, int]) -> None:
--- a/packages/godwitway/tests/steering/test_loads.py
+++ b/packages/godwitway/tests/steering/test_loads.py
@@ -5,10 +5,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from steering_builders import SteeringHarness, build_peers, build_report, build_target
+from steering_builders import SteeringHarness, at, build_peers, build_report, build_target
 
 from godwitway.steering._loads import HEADER_BYTES, decode_report, encode_report, hash_zone
-from godwitway.steering._peers import LEADER_COUNT, Member, Peers
+from godwitway.steering._peers import FULL_REPORT_TICKS, LEADER_COUNT, Member, Peers
 
 LOADS = st.lists(
     st.tuples(
@@ -146,6 +146,53 @@
         )
         assert without_loads == {"1": LEADER_COUNT, "2": LEADER_COUNT}
 
+    def test_a_host_that_loses_the_store_tells_the_others_at_once(self):
+        """They have to watch it in its place; twice, as a datagram may be lost."""
+        sent = []
+        peers = recording_peers(SteeringHarness(build_target(1)), sent)
+        peers.record_store_call(True)
+        register(peers, Member("host-2", "a", ("10.0.0.2", 7)))
+        peers.send_report()
+        peers.record_store_call(False)
+        for _ in range(FULL_REPORT_TICKS - 2):
+            peers.send_report()
+        assert [decode_report(data).reaches_store for data, _ in sent] == [False, False]
+
+    def test_a_change_of_the_store_is_advertised_at_once(self):
+        """It may fit into no datagram, and the hosts that lack it have to fetch it."""
+        sent = []
+        harness = SteeringHarness(build_target(1))
+        positions = iter([at(40), at(41), at(41), at(41)])
+        peers = build_peers(harness.steering, versions=lambda: (3, next(positions)))
+        peers.send = lambda datagram, address: sent.append(datagram)
+        register(peers, Member("host-2", "a", ("10.0.0.2", 7)))
+        for _ in range(4):
+            peers.send_report()
+        assert [decode_report(data).advertised_position for data in sent] == [at(41), at(41)]
+
+    def test_a_leader_that_loses_the_store_tells_other_zones_although_it_no_longer_leads(self):
+        """They would otherwise count on it until its silence is noticed."""
+        sent = []
+        peers = recording_peers(SteeringHarness(build_target(1)), sent)
+        peers.record_store_call(True)
+        for index, zone in enumerate("ab"):
+            for number in range(2, 12):
+                address = (f"10.{index}.0.{number}", 7)
+                register(peers, Member(f"host-{zone}-{number}", zone, address))
+        for number in range(2, 12):
+            peers.handle_datagram(datagram(boot_id=100 + number), (f"10.0.0.{number}", 7))
+        peers.rank = (0, peers.own_member.address)
+        for _ in range(FULL_REPORT_TICKS):
+            peers.send_report()
+        remote = {address for _, address in sent if address[0].startswith("10.1.")}
+        assert len(remote) == LEADER_COUNT
+        sent.clear()
+        peers.record_store_call(False)
+        peers.send_report()
+        assert not peers.is_group_leader(peers.steering.now())
+        told = {address for data, address in sent if not decode_report(data).reaches_store}
+        assert remote <= told
+
     def test_own_reports_are_ignored(self):
         """A datagram may return to its sender."""
         harness = SteeringHarness(build_target(1))
--- a/packages/godwitway/tests/test_http.py
+++ b/packages/godwitway/tests/test_http.py
@@ -79,3 +79,36 @@
             server.close()
 
         asyncio.run(run())
+
+
+class TestTransferTime:
+    """Responses that begin in time and take longer than that in all."""
+
+    @staticmethod
+    async def request_slow_body(transfer_s: float) -> bytes:
+        """Request a body of which the second half comes 0.3 s after the first, within 0.1 s."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345")
+            await asyncio.sleep(0.3)
+            writer.write(b"67890")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        connection = HttpConnection(server.sockets[0].getsockname(), 5.0)
+        try:
+            return (await connection.request("GET", "/", b"", 0.1, transfer_s)).body
+        finally:
+            connection.close()
+            server.close()
+
+    def test_the_rest_of_a_response_has_a_time_of_its_own(self):
+        """A large configuration takes longer than a store that responds may stay silent."""
+        assert asyncio.run(self.request_slow_body(transfer_s=5.0)) == b"1234567890"
+
+    @pytest.mark.parametrize("transfer_s", [0.0, 0.1])
+    def test_a_response_that_takes_longer_is_an_error(self, transfer_s):
+        """Without a time for the rest, the whole response has to come in time."""
+        with pytest.raises(HttpError, match="TimeoutError"):
+            asyncio.run(self.request_slow_body(transfer_s))
