Notice a silent watch of the store on the own face

An accepted change of a service was in force nowhere if the watches of all hosts that follow the store were silent: a watch has no end, and one whose connection is dead looks like one without changes. This is the cause of the late changes on the platform's face, in a form without any bound.

Hosts that watch now read the configuration's marker every 2 s. No response, or a revision that no watch has brought for a whole period, ends the watches, and the store is read again. That takes at most 7 s of the 9 s within which a change must be in force.

Evidence: the new test failed on the code before and passes.

--- a/packages/godwitway-standins/tests/test_config.py
+++ b/packages/godwitway-standins/tests/test_config.py
@@ -219,6 +219,20 @@
 
         in_world(job)
 
+    def test_a_change_comes_into_force_although_all_watches_are_silent(self):
+        """Their connections are dead without an end; hosts waited for them for ever."""
+
+        async def job(world):
+            world.store.watchers.clear()
+            service, document = changed_service(world)
+            writer = hosts(world)[0].host.service_writer
+            accepted = (await writer.put(service, document, version_of(world))).unwrap()
+            await world.clock.sleep(IN_FORCE_S)
+            assert revisions(world) == {accepted.revision}
+            assert any("watch" in line["reason"] for line in events(world, "store_unavailable"))
+
+        in_world(job)
+
     def test_invalid_document_leaves_the_last_valid_one(self):
         """An invalid document in the store leaves the last valid version in force."""
 
--- a/packages/godwitway/src/godwitway/process/_config.py
+++ b/packages/godwitway/src/godwitway/process/_config.py
@@ -36,6 +36,9 @@
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 5.0
 WATCHER_CHECK_PERIOD_S = 0.5
+# Two checks, a call that gets no response and a new read take 7 s of the 9 s within which a change
+# must be in force everywhere.
+WATCH_CHECK_PERIOD_S = 2.0
 PULL_INTERVAL_S = 0.3
 
 
@@ -170,6 +173,7 @@
             asyncio.ensure_future(self.follow_services(services.revision + 1)),
             asyncio.ensure_future(self.follow_hosts(hosts.revision + 1)),
             asyncio.ensure_future(self.wait_until_replaced()),
+            asyncio.ensure_future(self.check_watches()),
         ]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -185,6 +189,28 @@
         while self.is_watcher():
             await self.node.clock.sleep(WATCHER_CHECK_PERIOD_S)
 
+    async def check_watches(self) -> None:
+        """Compare the newest revision of the configuration with the one in force, again and again.
+
+        A watch has no end, and one whose connection is dead looks like one without changes.
+
+        Raises:
+            StoreError: The store gave no response, or it has had a change for a whole period that
+                no watch has brought.
+        """
+        missing = 0
+        while True:
+            await self.node.clock.sleep(WATCH_CHECK_PERIOD_S)
+            marker = await self.store.range(REVISION_MARKER_KEY)
+            newest = max((item.mod_revision for item in marker.items), default=0)
+            in_force = self.node.snapshot.revision
+            if newest <= in_force:
+                missing = 0
+            elif newest == missing:
+                raise StoreError(f"no watch has brought revision {newest}, {in_force} is in force")
+            else:
+                missing = newest
+
     async def follow_services(self, revision: int) -> None:
         """Apply and relay configuration changes from a store revision on."""
         async for events in self.store.watch(CONFIG_PREFIX, revision):
