Stop a host that still waits for the store at its start

A host that started while neither the store nor another host answered ignored SIGTERM and was killed at the platform's bound: the load of its first state was awaited before anything looked at the planned stop. The start now runs in the background like the other jobs, and `run` waits for the stop alone. A host that does not serve yet has no packets to wait for and ends at once. A start that fails unexpectedly is logged and begun again, as the other jobs are.

--- a/packages/godwitway-standins/tests/test_operator_faults.py
+++ b/packages/godwitway-standins/tests/test_operator_faults.py
@@ -7,6 +7,7 @@
 import asyncio
 import signal
 
+import pytest
 from world_play import READY_S, events_of, play, state_after_start, state_of, wait_until
 
 from godwitway_standins.flows import FlowWorld
@@ -48,6 +49,26 @@
 
         play(tmp_path, 70, scenario)
 
+    @pytest.mark.parametrize("down", ["silent", "busy", "reset"])
+    def test_a_host_that_waits_for_the_store_at_its_start_stops(self, tmp_path, down):
+        """It ignored the stop until it had read the store, and was killed at the bound."""
+
+        async def scenario(world):
+            world.store.faults.down = down
+            for host in world.hosts:
+                host.kill()
+            host = world.hosts[0]
+            host.start()
+            assert await wait_until(lambda: events_of(host, "store_lost"), READY_S)
+            await asyncio.sleep(1.0)
+            host.signal(signal.SIGTERM)
+            host.signal(signal.SIGTERM)
+            assert await wait_until(host.ended, STOP_S)
+            assert host.process.returncode == 0
+            assert len(events_of(host, "stop")) == 1
+
+        play(tmp_path, 76, scenario)
+
 
 class TestRestart:
     """What a host uses after it restarts."""
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -161,22 +161,27 @@
         ]
         if settings.metrics is not None:
             servers.append(await serve_http(settings.metrics, self.handle_metrics))
-        if settings.first_start:
+        # In the background, so that a planned stop ends a start that waits for the store.
+        self.supervise(self.start)
+        await self.stopped.wait()
+        for server in servers:
+            server.close()
+        transport.close()
+        self.journal.event("stop")
+
+    async def start(self) -> None:
+        """Register this host, load what the store has, and start the periodic jobs."""
+        if self.core.settings.first_start:
             # Before listing: of any two hosts, one then finds the other in its listing.
             await self.registration.register()
         await self.load_initial_state()
         for job in (
             self.feed.run,
-            partial(report_periodically, core.peers),
+            partial(report_periodically, self.core.peers),
             self.upkeep,
             self.registration.maintain,
         ):
             self.supervise(job)
-        await self.stopped.wait()
-        for server in servers:
-            server.close()
-        transport.close()
-        self.journal.event("stop")
 
     def spawn(self, job: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background and log its failure."""
@@ -467,8 +472,9 @@
     async def stop(self) -> None:
         """Leave the rotation, forward the packets that still arrive, then end `run`.
 
-        The host stays in rotation until enough other hosts of its zone serve, and forwards packets
-        until routers have noticed and no packet arrives any more; both within the stop bound.
+        A host that does not serve yet ends at once. Otherwise the host stays in rotation until
+        enough other hosts of its zone serve, and forwards packets until routers have noticed and no
+        packet arrives any more; both within the stop bound.
         """
         if self.is_stopping:
             return
@@ -477,6 +483,9 @@
         started_at = self.now()
         deadline = started_at + core.settings.stop_bound_s - STOP_MARGIN_S
         self.journal.event("stopping", flows=len(core.steering.flow_table.flows))
+        if not core.steering.is_ready:
+            self.stopped.set()
+            return
         while (
             not core.rotation.may_leave()
             and self.now() < deadline - ROTATION_EXIT_S - QUIET_PERIOD_S
