--- a/packages/godwitway-standins/tests/test_operator_faults.py
+++ b/packages/godwitway-standins/tests/test_operator_faults.py
@@ -8,10 +8,11 @@
 import signal
 
 import pytest
+from godwitway.http import HttpConnection
 from world_play import READY_S, events_of, play, state_after_start, state_of, wait_until
 
 from godwitway_standins.flows import FlowWorld
-from godwitway_standins.flows._world import EXTRA_NET, KINDS, SERVICE_PORT
+from godwitway_standins.flows._world import CONTROL_PORT, EXTRA_NET, KINDS, SERVICE_PORT
 
 STOP_S = 8.0  # The grace period of 6 s, and time for the process to end.
 
@@ -182,3 +183,21 @@
             assert not world.judge.broken
 
         play(tmp_path, 74, scenario)
+
+
+class TestMetrics:
+    """The metrics of the running program."""
+
+    def test_they_are_served(self, tmp_path):
+        """The quick start kept `ssl` from being imported, also by the metrics' library."""
+
+        async def scenario(world):
+            host = world.hosts[0]
+            connection = HttpConnection((host.ip, CONTROL_PORT), READY_S)
+            response = await connection.request("GET", "/metrics", b"", READY_S)
+            connection.close()
+            assert response.status == 200
+            assert b"# TYPE godwitway_store_calls_total counter" in response.body
+            assert not events_of(host, "job_failed")
+
+        play(tmp_path, 77, scenario)
