Do not take a host for up to date while it fetches a newer configuration

A report of a newer configuration that arrived while the first one was being fetched confirmed the view of a host that had just started, so that it refused new flows of routes that it did not know yet. Found by reading; the new test fails on the code before.

--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -327,9 +327,10 @@
             if not self.is_catching_up:
                 self.is_catching_up = True
                 self.spawn(self.catch_up())
-        elif peer.config_version > self.core.config_version() and not self.is_fetching_config:
-            self.is_fetching_config = True
-            self.spawn(self.fetch_newer_config(peer))
+        elif peer.config_version > self.core.config_version():
+            if not self.is_fetching_config:
+                self.is_fetching_config = True
+                self.spawn(self.fetch_newer_config(peer))
         elif peer.reaches_store:
             self.core.confirm_view("report")
 
--- a/packages/godwitway/tests/steering/test_node.py
+++ b/packages/godwitway/tests/steering/test_node.py
@@ -135,6 +135,14 @@
         receive_reports(node, "a", range(1, 2), revision=9, reaches_store=False)
         assert not node.core.steering.is_current
 
+    def test_a_report_of_a_newer_configuration_does_not(self):
+        """The second report arrives while the configuration is being fetched."""
+        node = build_node()
+        node.core.peers.on_report = node.compare_revisions
+        node.spawn = lambda job: job.close()
+        receive_reports(node, "a", range(1, 3), revision=8)
+        assert not node.core.steering.is_current
+
     def test_an_answer_of_the_store_confirms_it(self):
         """A host without others has no reports."""
         node = build_node()
