Reset flows of a withdrawn route only where they were forwarded before

A host that had seen a route withdrawn, and had not yet learned that it was added again, reset the open flows that other hosts had opened on it since. It now resets only flows that it forwarded while the route was in force; others follow their route token until they end. The memory of withdrawn routes goes.

--- a/packages/godwitway/src/godwitway/steering/_catalog.py
+++ b/packages/godwitway/src/godwitway/steering/_catalog.py
@@ -8,7 +8,6 @@
 
 MAX_FLOW_LIFETIME_S = 60.0  # The platform's limit.
 DEPARTED_RETENTION_S = MAX_FLOW_LIFETIME_S  # Later no packet carries the target's token.
-MAX_WITHDRAWN_ROUTES = 4_096  # Bounds the memory; a configuration has at most 1,400 routes.
 # The attributes of a target that each announcement replaces; `id` and `token` stay.
 ANNOUNCED_FIELDS = (
     "service",
@@ -51,8 +50,6 @@
         allowed_services: The services that each current route has led to since this process added
             the route, by packed address and port. Open flows stay at the targets of an earlier
             service when a route moves.
-        withdrawn_routes: The addresses and ports whose route a configuration removed while this
-            process ran, oldest first; at most `MAX_WITHDRAWN_ROUTES`.
         generation: A number that increases whenever a target is added, updated or removed.
     """
 
@@ -65,7 +62,6 @@
         "generation",
         "routes",
         "targets",
-        "withdrawn_routes",
     )
 
     def __init__(self) -> None:
@@ -76,7 +72,6 @@
         self.by_service: dict[str, list[Target]] = {}
         self.departed_at: dict[str, float] = {}
         self.allowed_services: dict[bytes, frozenset[str]] = {}
-        self.withdrawn_routes: dict[bytes, None] = {}
         self.generation = 0
 
     def apply_config(self, config: FleetConfig) -> bool:
@@ -84,21 +79,13 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
-        previous = self.routes
         self.routes = {route.service_address: route for route in config.routes}
         self.allowed_services = {
             key: self.allowed_services.get(key, frozenset()) | route.services
             for key, route in self.routes.items()
         }
-        self.record_withdrawals(previous)
         return True
 
-    def record_withdrawals(self, previous: dict[bytes, Route]) -> None:
-        """Update `withdrawn_routes` after the routes `previous` were replaced."""
-        withdrawn = self.withdrawn_routes | dict.fromkeys(previous.keys() - self.routes.keys())
-        current = [key for key in withdrawn if key not in self.routes]
-        self.withdrawn_routes = dict.fromkeys(current[-MAX_WITHDRAWN_ROUTES:])
-
     def put_target(self, announced: Target) -> Target:
         """Add a target, or update the known one with the same id.
 
--- a/packages/godwitway/src/godwitway/steering/_steering.py
+++ b/packages/godwitway/src/godwitway/steering/_steering.py
@@ -143,25 +143,30 @@
             return
         route = self.catalog.routes.get(packet.service_address)
         if route is None:
-            self.handle_unrouted_packet(packet)
+            self.handle_unrouted_packet(packet, now)
         elif packet.opening:
             self.open_flow(packet, route, now)
         else:
             self.handle_later_packet(packet, route, now)
 
-    def handle_unrouted_packet(self, packet: FlowPacket) -> None:
+    def handle_unrouted_packet(self, packet: FlowPacket, now: float) -> None:
         """Handle a packet to an address for which this host's configuration has no route.
 
         A change of the configuration reaches hosts at different times, so the flow may be open on a
-        route that another host already has. It is reset only if this host knows that the route was
-        withdrawn; otherwise its packets follow their route token.
+        route that another host already has. It is reset only if this host forwarded it while the
+        route was in force, so that the route was withdrawn from the flow; otherwise its packets
+        follow their route token.
         """
-        if packet.service_address in self.catalog.withdrawn_routes:
-            self.answer_with_reset(packet, ResetReason.NO_ROUTE)
-            return
         if packet.opening:
             self.refuse_opening(packet, ResetReason.NO_ROUTE)
             return
+        flow = self.flow_table.flows.get(packet.flow_key)
+        if flow is not None and flow.is_established and belongs_to_flow(flow, packet):
+            if flow.reset_at is None:
+                self.reset_flow(packet, flow, ResetReason.NO_ROUTE, now)
+            else:
+                self.resend_reset(packet, flow, now)
+            return
         target = self.catalog.by_token.get(packet.token)
         if target is None:
             self.drop_packet(DropReason.UNKNOWN_TOKEN)
