Silence the store for the watching hosts in the soak, and move flows

The soak drew single hosts for a silent store, so those that watch it for all were never silent together, and callers had no flows on routes that come and go. It now silences the store for the hosts that watch it while a target drains and routes change, and uses some flows on added routes through another host than the one that opened them; planned stops do not excuse a reset. `--only` selects kinds of faults, since bounds with a time hold only while the store is undisturbed. The plans of the other kinds stay the same for a seed.

--- a/packages/godwitway-standins/src/godwitway_standins/flows/_caller.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_caller.py
@@ -198,13 +198,7 @@
                 ended = attempt.ended or "deadline"
                 self.forget(attempt)
                 return ended, True
-        attempt.answer = b""
-        head = (
-            f"POST /{kind.name} HTTP/1.1\r\nX-Godwitway-Request-Id: {request}\r\n"
-            f"X-Size: {kind.answer_bytes}\r\nContent-Length: {kind.request_bytes}\r\n\r\n"
-        )
-        self.sent[request] = kind.name
-        attempt.end.write(head.encode() + b"x" * kind.request_bytes)
+        self.send_request(attempt, kind, request)
         answer = await self.wait_for_answer(attempt, deadline)
         if answer is None:
             ended = attempt.ended or "deadline"
@@ -217,6 +211,16 @@
             asyncio.get_running_loop().call_later(1.0, self.forget, attempt)
         return self.judge_answer(kind, request, answer)
 
+    def send_request(self, attempt: Attempt, kind: RequestType, request: str) -> None:
+        """Send a request on an open flow; see `wait_for_answer`."""
+        attempt.answer = b""
+        head = (
+            f"POST /{kind.name} HTTP/1.1\r\nX-Godwitway-Request-Id: {request}\r\n"
+            f"X-Size: {kind.answer_bytes}\r\nContent-Length: {kind.request_bytes}\r\n\r\n"
+        )
+        self.sent[request] = kind.name
+        attempt.end.write(head.encode() + b"x" * kind.request_bytes)
+
     @staticmethod
     def judge_answer(kind: RequestType, request: str, answer: bytes) -> tuple[str, bool]:
         """Return what an answer says and whether the request may be sent again."""
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_judge.py
@@ -25,6 +25,7 @@
         now: The clock in seconds.
         broken: What went wrong, by the name of the promise.
         disturbed: When each host, target or the store was last disturbed, by name.
+        harmed: The same without planned work, under which flows must be kept at all times.
         sent: The kind of each request that a caller sent, by id.
         runs: How often each request ran, by id.
         outcomes: How requests ended.
@@ -36,6 +37,7 @@
         self.now = now
         self.broken: list[tuple[str, str]] = []
         self.disturbed: dict[str, float] = {}
+        self.harmed: dict[str, float] = {}
         self.sent: dict[str, str] = {}
         self.at_most_once: set[str] = set()
         self.runs: Counter[str] = Counter()
@@ -50,16 +52,21 @@
         """Take note of a broken promise."""
         self.broken.append((promise, f"{self.now():.3f} {what}"))
 
-    def disturb(self, *names: str, until: float = 0.0) -> None:
+    def disturb(self, *names: str, until: float = 0.0, planned: bool = False) -> None:
         """Take note that something is disturbed now, or up to a time."""
         for name in names:
-            self.disturbed[name] = max(self.disturbed.get(name, 0.0), self.now(), until)
+            for times in (self.disturbed,) if planned else (self.disturbed, self.harmed):
+                times[name] = max(times.get(name, 0.0), self.now(), until)
 
     def calm(self, *names: str) -> bool:
         """Whether nothing disturbed the given things for the span after which bounds hold."""
         limit = self.now() - Bounds.stable_s
         return all(self.disturbed.get(name, 0.0) < limit for name in names)
 
+    def unharmed(self, name: str) -> bool:
+        """Whether nothing but planned work disturbed a host for that span."""
+        return self.harmed.get(name, 0.0) < self.now() - Bounds.stable_s
+
     def lateness(self, accepted_at: float) -> float:
         """Return how long ago the bound of a change began, in seconds.
 
--- a/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_world.py
@@ -180,6 +180,7 @@
         self.prober = RouteProber(
             self.judge, self.router, self.address_of("board"), random.Random(f"probes {seed}")
         )
+        self.prober.may_move = lambda address: address[0].startswith(EXTRA_NET)
 
     async def start(self) -> None:
         """Start everything but the callers' requests."""
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_command.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_command.py
@@ -3,13 +3,14 @@
 import asyncio
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
 from godwitway_standins.flows._world import Layout
+from godwitway_standins.soak._plan import ALL_KINDS
 from godwitway_standins.soak._report import SoakReport
 from godwitway_standins.soak._run import run_soak
 
@@ -36,14 +37,20 @@
         int, cappa.Arg(long=True, help="Maximum number of concurrent runs; at most 80.")
     ] = 1
     calm: Annotated[bool, cappa.Arg(long=True, help="Inject no faults.")] = False
+    only: Annotated[
+        list[str], cappa.Arg(long=True, help="Kind of fault; others are left out. May be repeated.")
+    ] = field(default_factory=list)
     plot: Annotated[bool, cappa.Arg(long=True, help="Plot request outcomes over time.")] = False
 
     def __call__(self) -> None:
         """Run all seeds and print the number of passed and failed runs.
 
         Raises:
-            cappa.Exit: With code 1 if a run broke a promise, 130 if SIGTERM cancelled the command.
+            cappa.Exit: With code 1 if a run broke a promise, 130 if SIGTERM cancelled the command,
+                2 for an unknown kind of fault.
         """
+        if unknown := set(self.only) - ALL_KINDS:
+            raise cappa.Exit(f"no such kinds of faults: {', '.join(sorted(unknown))}", code=2)
         try:
             reports = asyncio.run(self.run_all())
         except asyncio.CancelledError:
@@ -76,7 +83,9 @@
             folder = self.folder / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
             layout = Layout(octet, hosts=self.hosts, callers=self.callers)
-            report = await run_soak(seed, self.seconds, layout, folder, self.calm)
+            report = await run_soak(
+                seed, self.seconds, layout, folder, self.calm, frozenset(self.only) or ALL_KINDS
+            )
             free_octets.put_nowait(octet)
             sys.stdout.write(report.format_text() + "\n")
             if self.plot:
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_faults.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_faults.py
@@ -1,11 +1,15 @@
 """Injects the planned faults from outside the host processes."""
 
 import asyncio
+import json
 import signal
 from collections.abc import Awaitable, Callable
 
+from godwitway.http import HttpConnection, HttpError
+
 from godwitway_standins.flows import FlowTarget, FlowWorld, HostProcess
-from godwitway_standins.soak._plan import RESTORE_KIND, Fault
+from godwitway_standins.flows._world import CONTROL_PORT
+from godwitway_standins.soak._plan import RESTORE_KIND, WATCHERS_KIND, Fault
 
 __all__ = ["FaultInjector"]
 
@@ -16,6 +20,8 @@
 ENTRY_EXPIRY_S = 1.2
 # Longer than `Bounds.drain_s` of `flows._judge`: the target serves on past the drain bound.
 DRAIN_PERIOD_S = 4.5
+MAX_CHANGE_DELAY_S = 1.0  # From a silence of the store to the changes that hosts must learn of.
+STATE_TIMEOUT_S = 0.5
 MIN_TARGETS = 4  # With fewer serving targets of service "desk", none is crashed or drained.
 MAX_TARGETS = 14  # With as many serving targets of service "desk", none is added by `add_target`.
 SLOW_STORE_DELAY_S = 0.25
@@ -29,6 +35,18 @@
 )
 
 
+async def watches_store(host: HostProcess) -> bool:
+    """Return whether a host watches the store by its own account; False if it does not answer."""
+    connection = HttpConnection((host.ip, CONTROL_PORT), STATE_TIMEOUT_S)
+    try:
+        response = await connection.request("GET", "/state", b"", STATE_TIMEOUT_S)
+    except HttpError:
+        return False  # It is down, paused or still starting.
+    finally:
+        connection.close()
+    return json.loads(response.body)["watches"]
+
+
 class FaultInjector:
     """Injects faults into a running deployment.
 
@@ -53,6 +71,8 @@
         store_kinds = ("store_busy", "store_reset", "store_silent", "store_slow", "store_lost")
         if fault.kind == RESTORE_KIND:
             await self.restore_store(fault)
+        elif fault.kind == WATCHERS_KIND:
+            await self.silence_watchers(fault)
         elif fault.kind in store_kinds:
             await self.inject_store_fault(fault)
         elif fault.kind.startswith("host_store_"):
@@ -73,14 +93,17 @@
             return None
         return serving[int(fault.selector * len(serving))]
 
-    def mark_disturbed(self, host: HostProcess, duration_s: float = 0.0) -> None:
+    def mark_disturbed(
+        self, host: HostProcess, duration_s: float = 0.0, planned: bool = False
+    ) -> None:
         """Report a disturbance of a host to the judge, which then relaxes its bounds for the host.
 
         Args:
             host: The disturbed host.
             duration_s: Seconds from now for which the disturbance lasts.
+            planned: Whether it is planned work, under which flows must be kept.
         """
-        self.judge.disturb(host.ip, until=self.judge.now() + duration_s)
+        self.judge.disturb(host.ip, until=self.judge.now() + duration_s, planned=planned)
 
     async def kill_host(self, fault: Fault) -> None:
         """Kill a host and restart it."""
@@ -90,9 +113,14 @@
             await asyncio.sleep(RESTART_DELAY_S)
             self.restart_host(host)
 
-    def restart_host(self, host: HostProcess) -> None:
-        """Start a host whose process has ended, and remove it from `down_hosts`."""
-        self.mark_disturbed(host)
+    def restart_host(self, host: HostProcess, planned: bool = False) -> None:
+        """Start a host whose process has ended, and remove it from `down_hosts`.
+
+        Args:
+            host: The host.
+            planned: Whether a planned stop ended the process.
+        """
+        self.mark_disturbed(host, planned=planned)
         host.start()
         self.down_hosts.discard(host.name)
 
@@ -106,16 +134,17 @@
         if host is None:
             return
         self.down_hosts.add(host.name)
-        self.mark_disturbed(host, STOP_GRACE_S)
+        self.mark_disturbed(host, STOP_GRACE_S, planned=True)
         host.signal(signal.SIGTERM)
         deadline = self.judge.now() + STOP_GRACE_S
         while not host.ended() and self.judge.now() < deadline:
             await asyncio.sleep(0.05)
-        if not host.ended() and not host.paused:
+        has_ended = host.ended()
+        if not has_ended and not host.paused:
             self.judge.breach("GRACE", f"{host.name} did not end within {STOP_GRACE_S} s")
         host.kill()
         await asyncio.sleep(RESTART_DELAY_S)
-        self.restart_host(host)
+        self.restart_host(host, planned=has_ended)
 
     async def pause_host(self, fault: Fault) -> None:
         """Pause a host with SIGSTOP, and resume it with SIGCONT at the end of the fault."""
@@ -192,6 +221,21 @@
             host.proxy.set_mode("pass")
             self.mark_disturbed(host)
 
+    async def silence_watchers(self, fault: Fault) -> None:
+        """Silence the store for the hosts that watch it, drain a target and change the routes."""
+        watching = [host for host in self.world.hosts if await watches_store(host)]
+        for host in watching:
+            self.mark_disturbed(host, fault.duration_s)
+            host.proxy.set_mode("silent")
+        await asyncio.sleep(fault.selector * MAX_CHANGE_DELAY_S)
+        async with asyncio.TaskGroup() as changes:
+            changes.create_task(self.drain_target(fault))
+            await self.config_routes(fault)
+            await asyncio.sleep(fault.duration_s)
+            for host in watching:
+                host.proxy.set_mode("pass")
+                self.mark_disturbed(host)
+
     async def store_compact(self, fault: Fault) -> None:
         """Make the store discard its history; watches from older revisions then fail."""
         self.judge.disturb("store")
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_plan.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_plan.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-__all__ = ["FAULT_KINDS", "RESTORE_KIND", "Fault", "make_plan"]
+__all__ = ["ALL_KINDS", "FAULT_KINDS", "RESTORE_KIND", "WATCHERS_KIND", "Fault", "make_plan"]
 
 FIRST_FAULT_S = 1.0
 MEAN_INTERVAL_S = 1.6
@@ -13,6 +13,10 @@
 RESTORE_KIND = "store_restore"  # The store is away, and comes back from a copy.
 MEAN_RESTORE_INTERVAL_S = 9.0
 MAX_RESTORE_OUTAGE_S = 2.0
+WATCHERS_KIND = "watchers_silent"  # The store gives no response to the hosts that watch it.
+MEAN_WATCHERS_INTERVAL_S = 10.0
+# Longer than the bounds of a change, so that the hosts must have learned of it during the silence.
+MIN_WATCHERS_DURATION_S = 4.0
 
 # Relative frequency of each kind. `store_*` kinds other than `store_compact` are injected by
 # `FaultInjector.inject_store_fault`, `host_store_*` kinds by `inject_proxy_fault`; any other kind
@@ -43,6 +47,8 @@
     "cut_zone": 2,
 }
 
+ALL_KINDS = frozenset({*FAULT_KINDS, RESTORE_KIND, WATCHERS_KIND})
+
 
 @dataclass(slots=True)
 class Fault:
@@ -50,9 +56,9 @@
 
     Attributes:
         start_s: Start time, in seconds after the callers start.
-        kind: One of `FAULT_KINDS`, or `RESTORE_KIND`.
-        duration_s: Duration in seconds; used by `pause_host`, `cut_zone`, `host_store_*` and
-            `store_*` other than `store_compact`. The other kinds ignore it.
+        kind: One of `FAULT_KINDS`, `RESTORE_KIND` or `WATCHERS_KIND`.
+        duration_s: Duration in seconds; used by `pause_host`, `cut_zone`, `watchers_silent`,
+            `host_store_*` and `store_*` other than `store_compact`. The other kinds ignore it.
         selector: Number in [0, 1) that selects the affected host, target, zone or value.
     """
 
@@ -62,7 +68,7 @@
     selector: float
 
 
-def make_plan(seed: int, fault_period_s: float) -> list[Fault]:
+def make_plan(seed: int, fault_period_s: float, only: frozenset[str] = ALL_KINDS) -> list[Fault]:
     """Return the faults of a run, ordered by start time.
 
     The same arguments always give the same plan, so that a failed run can be repeated.
@@ -70,31 +76,52 @@
     Args:
         seed: Seed of the random generator.
         fault_period_s: Faults start before this time, in seconds.
+        only: The kinds that occur. Few kinds leave the store and most hosts undisturbed for longer,
+            so that bounds with a time hold.
 
     >>> make_plan(7, 30.0) == make_plan(7, 30.0)
     True
     """
     rng = random.Random(seed)
+    weights = {kind: weight for kind, weight in FAULT_KINDS.items() if kind in only}
     plan: list[Fault] = []
     start_s = FIRST_FAULT_S
-    while start_s < fault_period_s:
-        kind = rng.choices(list(FAULT_KINDS), list(FAULT_KINDS.values()))[0]
+    while weights and start_s < fault_period_s:
+        kind = rng.choices(list(weights), list(weights.values()))[0]
         plan.append(Fault(start_s, kind, rng.uniform(MIN_DURATION_S, MAX_DURATION_S), rng.random()))
         if rng.random() > SIMULTANEOUS_PROBABILITY:
             start_s += rng.expovariate(1 / MEAN_INTERVAL_S)
-    return sorted(plan + plan_restores(seed, fault_period_s), key=lambda fault: fault.start_s)
-
-
-def plan_restores(seed: int, fault_period_s: float) -> list[Fault]:
-    """Return the restores of the store in a run; see `make_plan`.
+    plan += plan_kind(
+        RESTORE_KIND, seed, fault_period_s, MEAN_RESTORE_INTERVAL_S, 0.0, MAX_RESTORE_OUTAGE_S
+    )
+    plan += plan_kind(
+        WATCHERS_KIND,
+        seed,
+        fault_period_s,
+        MEAN_WATCHERS_INTERVAL_S,
+        MIN_WATCHERS_DURATION_S,
+        MAX_DURATION_S,
+    )
+    return sorted((fault for fault in plan if fault.kind in only), key=lambda fault: fault.start_s)
+
+
+def plan_kind(
+    kind: str,
+    seed: int,
+    fault_period_s: float,
+    mean_interval_s: float,
+    min_duration_s: float,
+    max_duration_s: float,
+) -> list[Fault]:
+    """Return the faults of one kind in a run; see `make_plan`.
 
     They have a random generator of their own, so that the other faults of a seed stay the same.
     """
-    rng = random.Random(f"{RESTORE_KIND} {seed}")
-    restores: list[Fault] = []
-    start_s = FIRST_FAULT_S + rng.expovariate(1 / MEAN_RESTORE_INTERVAL_S)
+    rng = random.Random(f"{kind} {seed}")
+    faults: list[Fault] = []
+    start_s = FIRST_FAULT_S + rng.expovariate(1 / mean_interval_s)
     while start_s < fault_period_s:
-        outage_s = rng.uniform(0.0, MAX_RESTORE_OUTAGE_S)
-        restores.append(Fault(start_s, RESTORE_KIND, outage_s, rng.random()))
-        start_s += rng.expovariate(1 / MEAN_RESTORE_INTERVAL_S)
-    return restores
+        duration_s = rng.uniform(min_duration_s, max_duration_s)
+        faults.append(Fault(start_s, kind, duration_s, rng.random()))
+        start_s += rng.expovariate(1 / mean_interval_s)
+    return faults
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_run.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_run.py
@@ -6,7 +6,7 @@
 from godwitway_standins.flows import FlowWorld
 from godwitway_standins.flows._world import Layout
 from godwitway_standins.soak._faults import FaultInjector
-from godwitway_standins.soak._plan import make_plan
+from godwitway_standins.soak._plan import ALL_KINDS, make_plan
 from godwitway_standins.soak._report import SoakReport
 
 __all__ = ["run_soak"]
@@ -19,7 +19,12 @@
 
 
 async def run_soak(
-    seed: int, fault_period_s: float, layout: Layout, folder: Path, without_faults: bool = False
+    seed: int,
+    fault_period_s: float,
+    layout: Layout,
+    folder: Path,
+    without_faults: bool = False,
+    only: frozenset[str] = ALL_KINDS,
 ) -> SoakReport:
     """Run the soak test once and return its report.
 
@@ -32,10 +37,11 @@
         layout: Size and addresses of the deployment.
         folder: Existing folder for the hosts' settings and logs.
         without_faults: Whether to inject no faults.
+        only: The kinds of faults to inject.
     """
     loop = asyncio.get_running_loop()
     world = FlowWorld(layout, folder, seed)
-    plan = [] if without_faults else make_plan(seed, fault_period_s)
+    plan = [] if without_faults else make_plan(seed, fault_period_s, only)
     injector = FaultInjector(world)
     callers_started_at = loop.time()
     try:
--- a/packages/godwitway-standins/tests/test_soak.py
+++ b/packages/godwitway-standins/tests/test_soak.py
@@ -11,7 +11,7 @@
 from godwitway_standins.flows._world import Layout
 from godwitway_standins.soak import FAULT_KINDS, make_plan, run_soak
 from godwitway_standins.soak._faults import FaultInjector
-from godwitway_standins.soak._plan import RESTORE_KIND
+from godwitway_standins.soak._plan import RESTORE_KIND, WATCHERS_KIND
 
 # Address and port that callers send "board" requests to.
 BOARD_ADDRESS = ("198.18.0.1", 443)
@@ -201,14 +201,14 @@
     def test_every_kind_has_an_injector_method(self):
         """Each kind that is not prefixed with `store_` or `host_store_` names an injector method.
 
-        Each kind, with any prefix, and restores of the store occur in some plan.
+        Each kind, with any prefix, and those with a plan of their own occur in some plan.
         """
         checked_kinds = [
             name for name in FAULT_KINDS if not name.startswith(("store_", "host_store_"))
         ]
         assert all(hasattr(FaultInjector, name) for name in checked_kinds)
         planned = {fault.kind for seed in range(30) for fault in make_plan(seed, 60.0)}
-        assert planned == {*FAULT_KINDS, RESTORE_KIND}
+        assert planned == {*FAULT_KINDS, RESTORE_KIND, WATCHERS_KIND}
 
 
 class TestRuns:
@@ -243,6 +243,13 @@
         ]
         assert restored
 
+    def test_a_run_with_silent_watching_hosts_keeps_its_promises(self, tmp_path):
+        """Hosts that nothing disturbs learned of drains too late, as in seed 1."""
+        only = frozenset({"config_routes", WATCHERS_KIND})
+        report = asyncio.run(run_soak(1, 30.0, Layout(net=35), tmp_path, only=only))
+        assert report.breaches == [], report.format_text()
+        assert sum(fault.kind == WATCHERS_KIND for fault in report.faults) > 1
+
 
 class TestInterruption:
     """A run that is cancelled."""
