--- a/packages/godwitway-standins/tests/test_operator_faults.py
+++ b/packages/godwitway-standins/tests/test_operator_faults.py
@@ -76,8 +76,8 @@
         """It arrives after the event loop has closed, and before the interpreter has ended."""
 
         async def scenario(world):
-            for _ in range(5):
-                await stop_at_start(world, "reset", signals=2)
+            for down in ("silent", "busy", "reset") * 2:
+                await stop_at_start(world, down, signals=2)
 
         play(tmp_path, 78, scenario)
 
