--- a/review/lib-2/platform_2.py
+++ b/review/lib-2/platform_2.py
@@ -29,7 +29,7 @@
 FIRST_RESEND_S, LAST_RESEND_S, MAX_RESENDS = 0.2, 1.6, 8
 COPIES_S, OPENING_S = (0.2, 0.6), 1.4
 HISTORY_S = 20.0
-PAGE_ITEMS = 500
+PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 RESET_WINDOW = 76_800
 
 
@@ -233,9 +233,15 @@
                     packet.seq + 1,
                 )
                 self.world.note("took", target=self.id, flow=list(key), host=addr[0])
+                flow["wait"], flow["repeats"] = FIRST_RESEND_S, 0
+                flow["answer"] = lambda: self.reply(
+                    packet, SYN | ACK, flow["end"].base - 1, flow["end"].expected, b"", flow["echo"]
+                )
+                flow["due"] = time.monotonic() + flow["wait"]
+                if self.world.lose_answer(self, key):
+                    return
             if not flow["open"]:
-                end = flow["end"]
-                self.reply(packet, SYN | ACK, end.base - 1, end.expected, b"", flow["echo"])
+                flow["answer"]()
         elif flow is None:
             self.reply(packet, RST, packet.ack, 0, b"", packet.echo)
             self.world.note("target-reset", target=self.id, flow=list(key), host=addr[0])
@@ -246,6 +252,8 @@
         end = flow["end"]
         if not flow["open"]:
             if packet.ack != end.base:
+                self.reply(packet, RST, packet.ack, 0, b"", packet.echo)
+                self.world.note("target-reset", target=self.id, flow=list(key))
                 return
             flow["open"] = True
             self.world.note("opened", target=self.id, flow=list(key))
@@ -281,7 +289,12 @@
     def tick(self) -> None:
         for key, flow in list(self.flows.items()):
             flow["end"].tick()
-            if flow["end"].resends > MAX_RESENDS:
+            if not flow["open"] and time.monotonic() >= flow["due"]:
+                flow["repeats"] += 1
+                flow["wait"] = min(LAST_RESEND_S, flow["wait"] * 2)
+                flow["due"] = time.monotonic() + flow["wait"]
+                flow["answer"]()
+            if max(flow["end"].resends, flow["repeats"]) > MAX_RESENDS:
                 del self.flows[key]
 
 
@@ -337,6 +350,8 @@
                 self.opened, self.echo = True, packet.echo
                 self.end = End(self.send, self.first + 1, packet.seq + 1)
                 self.send(ACK, self.end.next, self.end.expected)
+            else:  # The answer of another target; its echo is the last one received.
+                self.echo = packet.echo
         elif self.opened:
             self.echo = packet.echo
             self.answer += self.end.receive(packet)
@@ -547,9 +562,15 @@
                 for k in self.items
                 if k.startswith(query.get("prefix", "")) and k > query.get("after", "")
             )
+            page, size = [], 0
+            for key in keys[:PAGE_ITEMS]:
+                size += len(self.items[key]["value"])
+                if page and size > PAGE_BYTES:
+                    break
+                page.append(self.items[key])
             return 200, {
-                "items": [self.items[k] for k in keys[:PAGE_ITEMS]],
-                "has-more": len(keys) > PAGE_ITEMS,
+                "items": page,
+                "has-more": len(page) < len(keys),
                 "store-revision": self.revision,
             }
         if parts.path == "/kv-watch":
@@ -667,6 +688,7 @@
         ) = ports
         self.store_address = (self.ip(0, 1), store_port)
         self.store, self.router = Store(self), Router(self)
+        self.lose_answer = lambda target, key: False
         self.tasks, self.notes, self.version, self.routes, self.services = set(), [], 0, {}, []
         for number in range(len(zones) * hosts_per_zone):
             zone = zones[number % len(zones)]
