--- a/review/lib-2/platform_2.py
+++ b/review/lib-2/platform_2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import socket
 import struct
 import subprocess
@@ -808,3 +809,4 @@
         for client in self.clients:
             client.transport.close()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
