--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib-2"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from case_2 import (  # noqa: E402
     BID,
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib-2"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from case_2 import (  # noqa: E402
     BID,
@@ -25,7 +25,7 @@
 
 VALUE_BYTES = 1_048_576  # value-bytes of the settings
 ENTRIES = 3
-NEW = ("198.18.0.3", 443)
+NEW = ("127.18.0.3", 443)
 TRAFFIC_S = 25.0
 
 
--- a/review/lib-2/case_2.py
+++ b/review/case_2.py
@@ -8,7 +8,7 @@
 
 from platform_2 import Flow, Host, World
 
-FEED, BID = ("198.18.0.1", 443), ("198.18.0.2", 443)
+FEED, BID = ("127.18.0.1", 443), ("127.18.0.2", 443)
 STABLE_S = 4.0  # stable-ms
 DRAIN_S = 3.0  # drain-ms
 CONFIG_S = 3.0  # config-apply-ms
--- a/review/lib-2/platform_2.py
+++ b/review/platform_2.py
@@ -21,7 +21,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SYN, ACK, FIN, RST = 16, 1, 8, 32
 HEAD = struct.Struct("<IIBHIIHHII")  # echo sum flags dport dst src sport len seq ack
 SUM_KEY = b"stand-in"
