Reject text without a UTF-8 form in entries, registrations and settings

Cause: json.loads decodes bytes with "surrogatepass" and accepts the escape of a lone surrogate, so the zone of the entry was a string that cannot be encoded. Placement hashes the names of zones, and raised UnicodeEncodeError for each opening packet.

Why it works: no string without a UTF-8 form gets behind the decoders, so no encoding of a name can fail later, in placement, in the reports of a group's leader or in the dump of the state.

--- a/packages/godwitway/src/godwitway/checks.py
+++ b/packages/godwitway/src/godwitway/checks.py
@@ -11,6 +11,7 @@
 
 from godwitway.addresses import parse_address
 from godwitway.errors import ErrorKind, Problem
+from godwitway.utf8 import has_utf8_form
 
 if TYPE_CHECKING:
     from result import Result
@@ -118,9 +119,11 @@
 
 
 def text(value: Any, field: str, checker: Checker) -> Any:
-    """Check for a non-empty string."""
+    """Check for a non-empty string that UTF-8 can encode."""
     if not isinstance(value, str) or not value:
         checker.report(field, f"expected a non-empty string, got {describe_value(value)}")
+    elif not has_utf8_form(value):
+        checker.report(field, f"{value!r:.40} has no UTF-8 form")
     return value
 
 
--- a/packages/godwitway/src/godwitway/steering/_peers.py
+++ b/packages/godwitway/src/godwitway/steering/_peers.py
@@ -22,6 +22,7 @@
 from godwitway.steering._watchers import StoreRetry, is_elected
 from godwitway.steering._zone_room import RoomEntry
 from godwitway.store import KeyValue, StorePosition
+from godwitway.utf8 import has_utf8_form
 
 __all__ = ["HOSTS_PREFIX", "REPORT_INTERVAL_S", "Member", "Peers"]
 
@@ -62,10 +63,12 @@
 
 def parse_member(key: str, value: bytes) -> Member | None:
     """Return the host that an item of the store registers, or None if the item is malformed."""
+    if not has_utf8_form(key):
+        return None
     try:
         zone, name = key.removeprefix(HOSTS_PREFIX).split("/", 1)
         return Member(name, zone, parse_address(json.loads(value)["address"]))
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
 
 
--- a/packages/godwitway/tests/steering/test_loads.py
+++ b/packages/godwitway/tests/steering/test_loads.py
@@ -236,3 +236,18 @@
         peers.apply_member_change("hosts/a/host-2", value, 1)
         register(peers, Member("host-3", "a", ("10.1.0.3", 7)))
         assert list(peers.by_address) == [("10.1.0.3", 7)]
+
+    @pytest.mark.parametrize(
+        ("key", "value"),
+        [
+            ("hosts/\ud83d/host-2", b'{"address": "10.1.0.2:7"}'),
+            ("hosts/a/host-2", b"[" * 100_000),
+        ],
+    )
+    def test_a_member_that_cannot_be_decoded_is_not_added_in_part(self, key, value):
+        """A zone without UTF-8 form once left a peer without a zone, and no line that says so."""
+        harness = SteeringHarness(build_target(1))
+        peers = recording_peers(harness, [])
+        peers.apply_member_change(key, value, 1)
+        assert not peers.by_address
+        assert peers.metrics.counters["entries_rejected", "host"] == 1
--- a/packages/godwitway/tests/steering/test_settings.py
+++ b/packages/godwitway/tests/steering/test_settings.py
@@ -87,6 +87,7 @@
             ("seeds", "x"),
             ("stop_bound_s", -1),
             ("name", ""),
+            ("zone", "\ud83d"),
             ("odd", 1),
             ("regions", []),
             ("cold_rate_slack", -1),
