--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -38,6 +38,7 @@
 FETCH_TIMEOUT_S = 1.0
 MAX_CACHED_DIFFERENCES = 4  # Most hosts of a zone have the same revision.
 CHANGES_PATH = "/changes/"
+MAX_POSITION_CHARS = 40  # Of two 64-bit numbers; `int` raises an error for thousands of digits.
 CONFIG_PATH = "/config"
 WHERE_PATH = "/where/"
 CONFIG_FETCH_INTERVAL_S = 1.0  # Two attempts within the 3 s in which a change must take effect.
@@ -72,9 +73,10 @@
 
     >>> parse_position("2/17")
     StorePosition(era=2, revision=17)
+    >>> parse_position("2/" + 5_000 * "9")
     """
     era, _, revision = text.partition("/")
-    if not (era.isdecimal() and revision.isdecimal()):
+    if not (era.isdecimal() and revision.isdecimal()) or len(text) > MAX_POSITION_CHARS:
         return None
     return StorePosition(int(era), int(revision))
 
--- a/packages/godwitway/tests/steering/test_node.py
+++ b/packages/godwitway/tests/steering/test_node.py
@@ -258,3 +258,12 @@
         answer = asyncio.run(build_node().handle_control(HttpRequest("GET", "/where/none")))
         assert answer[0] == 404
         assert b"no route 'none'" in answer[1]
+
+
+class TestMalformedRequests:
+    """Requests to the control address that no host sends."""
+
+    def test_a_position_with_too_many_digits_is_not_found(self):
+        """Converting it to a number would raise an error and close the connection."""
+        request = HttpRequest("GET", f"/changes/1/{'9' * 5_000}")
+        assert asyncio.run(build_node().handle_control(request))[0] == 404
