Read responses over slow links as long as bytes keep arriving

With an entry of 1 MiB in the store, hosts behind a link of 5 Mbit/s could not list the store or follow it.

A page had 1 s in all, the changes of a watch 2 s and a difference of another host 1 s; the next try had to transfer as much again. A starting host, on the other hand, had no limit for all pages of its first listing, during which it handles no packets.

Change: the time limit of a response moves while bytes arrive, up to 30 s.

--- a/packages/godwitway-standins/tests/test_metadata_store.py
+++ b/packages/godwitway-standins/tests/test_metadata_store.py
@@ -1,6 +1,7 @@
 """Tests of the adapter's client of the store against the stand-in."""
 
 import asyncio
+import json
 import os
 
 import pytest
@@ -167,3 +168,45 @@
             assert "hosts/a/x" in server.items
 
         play(scenario)
+
+
+class TestSlowLink:
+    """Responses that take longer than the store may stay silent."""
+
+    def test_pages_and_changes_that_keep_arriving_are_read(self, monkeypatch):
+        """A single large entry once kept hosts from listing the store, again and again."""
+        monkeypatch.setattr(_store, "LISTING_SILENCE_S", 2.0)
+        body = json.dumps(
+            {"items": [], "events": [], "has-more": False, "store-revision": 9}
+        ).encode()
+
+        async def serve(reader, writer):
+            while head := await reader.readline():
+                if head != b"\r\n":
+                    continue
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+                for start in range(0, len(body), 10):
+                    writer.write(body[start : start + 10])
+                    await asyncio.sleep(0.4)
+
+        async def run():
+            server = await asyncio.start_server(serve, IP, 8_169)
+            client = MetadataStoreClient((IP, 8_169), Metrics())
+            assert (await client.range("")).revision == 9
+            assert (await client.changes("", 9, 0.1)).position.revision == 9
+            client.connection.close()
+            server.close()
+
+        asyncio.run(run())
+
+    def test_a_starting_host_does_not_wait_for_page_after_page(self):
+        """It handles no packets while it lists the keys for the first time."""
+
+        async def scenario(server, client):
+            for number in range(8):
+                server.put(f"servers/i-{number}", os.urandom(MAX_VALUE_BYTES))
+            server.faults.delay_s = 0.2
+            with pytest.raises(StoreError):
+                await asyncio.to_thread(list_keys_blocking, (IP, 8_169), 1.0, 1.0)
+
+        play(scenario)
--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -23,6 +23,7 @@
 __all__ = ["HttpConnection", "HttpError", "HttpRequest", "HttpResponse", "serve_http"]
 
 READ_CHUNK_BYTES = 65_536
+MAX_TRANSFER_S = 30.0  # The largest body takes 14 s over a link of 2.5 Mbit/s.
 KEEPALIVE_IDLE_S = 1  # Detects a dead connection within the 3 s in which a change must take effect.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -73,7 +74,7 @@
         self.writer: asyncio.StreamWriter | None = None
 
     async def request(
-        self, method: str, target: str, body: bytes, timeout_s: float, transfer_s: float = 0.0
+        self, method: str, target: str, body: bytes, timeout_s: float, silence_s: float = 0.0
     ) -> HttpResponse:
         """Send a request and return its response; the connection is closed on any failure.
 
@@ -82,8 +83,9 @@
             target: The path with the query.
             body: The body, empty for none.
             timeout_s: The longest time in seconds to wait for the response.
-            transfer_s: If not 0, the longest time in seconds for the rest of the response after its
-                first bytes; `timeout_s` then ends with these.
+            silence_s: If not 0, `timeout_s` ends with the first bytes of the response, and the rest
+                may take `MAX_TRANSFER_S` as long as bytes keep arriving; this is the longest time
+                in seconds between them.
 
         Raises:
             HttpError: The connection failed, or the response did not arrive in time.
@@ -95,9 +97,7 @@
             async with asyncio.timeout(timeout_s) as limit:
                 self.writer.write(encode_request(self.address, method, target, body))
                 first = await self.reader.read(READ_CHUNK_BYTES)
-                if transfer_s:
-                    limit.reschedule(asyncio.get_running_loop().time() + transfer_s)
-                return await self.receive_response(first)
+                return await self.receive_response(first, limit, silence_s)
         except httptools.HttpParserError as error:
             self.close()
             reason = describe_parser_error(error)
@@ -120,13 +120,25 @@
             self.reader, self.writer = await asyncio.open_connection(*self.address)
         enable_keepalive(self.writer)
 
-    async def receive_response(self, data: bytes) -> HttpResponse:
-        """Read a response whose first bytes are `data`, empty at the end of the connection."""
+    async def receive_response(
+        self, data: bytes, limit: asyncio.Timeout, silence_s: float
+    ) -> HttpResponse:
+        """Read the rest of a response.
+
+        Args:
+            data: The first bytes of the response, empty at the end of the connection.
+            limit: The time limit of the request, which is moved if there is a `silence_s`.
+            silence_s: See `request`.
+        """
         message = MessageCollector()
         parser = httptools.HttpResponseParser(message)
+        now = asyncio.get_running_loop().time
+        ends_at = now() + MAX_TRANSFER_S
         while True:
             if not data:
                 raise ConnectionResetError("the server closed the connection")
+            if silence_s:
+                limit.reschedule(min(now() + silence_s, ends_at))
             parser.feed_data(data)
             if message.complete:
                 break
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -34,6 +34,7 @@
 STATUS_OK = 200
 TASK_RESTART_DELAY_S = 1.0
 START_RETRY_S = 0.1  # Rises to 0.5 s; a host without configuration serves nobody.
+# Until the response begins, and then between its parts: all changes take seconds over a slow link.
 # Leaves two more attempts within the 3 s in which a change must take effect.
 FETCH_TIMEOUT_S = 1.0
 MAX_CACHED_DIFFERENCES = 4  # Most hosts of a zone have the same revision.
@@ -313,7 +314,7 @@
         base = self.replica.position if self.replica.has_listing else FIRST_POSITION
         path = f"{CHANGES_PATH}{base.era}/{base.revision}"
         try:
-            response = await connection.request("GET", path, b"", FETCH_TIMEOUT_S)
+            response = await connection.request("GET", path, b"", FETCH_TIMEOUT_S, FETCH_TIMEOUT_S)
             if response.status != STATUS_OK:
                 return False
             difference = decode_difference(response.body)
@@ -364,7 +365,9 @@
         """
         connection = HttpConnection(address, FETCH_TIMEOUT_S)
         try:
-            response = await connection.request("GET", CONFIG_PATH, b"", FETCH_TIMEOUT_S)
+            response = await connection.request(
+                "GET", CONFIG_PATH, b"", FETCH_TIMEOUT_S, FETCH_TIMEOUT_S
+            )
             if response.status == STATUS_OK:
                 self.metrics.count("configs_taken")
                 self.journal.event("config_taken", peer=format_address(address))
