Hold a target whose entry was invalid before it was deleted

Cause: an invalid entry marked its target as draining, and the deletion of a draining target's entry removes the target at once, as it has left.

Change: a deletion after an invalid value is handled like the loss of any other entry. The target gets no new flows, and stays for its open ones until it does not answer or its entry is back.

Result: the new test fails before the change for targets that were ready and that were draining, and passes with it.

--- a/packages/godwitway/src/godwitway/steering/_announcements.py
+++ b/packages/godwitway/src/godwitway/steering/_announcements.py
@@ -37,6 +37,7 @@
         known_updates: Recognizes entries that are older than what was applied before a restore.
         outdated_entries: The value, the revision, and the time at which it is applied in spite of
             its age, in seconds, of each outdated entry that was not written again, by key.
+        rejected_keys: The keys of known targets whose last value was invalid.
         restored_at: When this host learned that the store was restored, in seconds.
         restored_revision: The revision of the listing that showed that the store was restored; keys
             that are missing there were not deleted but lost. 0 before the first restore.
@@ -64,6 +65,7 @@
         self.lapsed_until: dict[str, float] = {}
         self.known_updates = KnownUpdates()
         self.outdated_entries: dict[str, tuple[bytes, int, float]] = {}
+        self.rejected_keys: set[str] = set()
         self.restored_at = 0.0
         self.restored_revision = 0
         self.target_id_by_key: dict[str, str] = {}
@@ -163,6 +165,7 @@
             self.reject_target_entry(key, str(error), revision)
             return False
         self.target_id_by_key[key] = target.id
+        self.rejected_keys.discard(key)
         if self.known_updates.is_outdated(target):
             self.metrics.count("entries_outdated")
             self.journal.event("entry_outdated", target=target.id, revision=revision)
@@ -215,25 +218,28 @@
     def reject_target_entry(self, key: str, reason: str, revision: int) -> None:
         """Log an invalid entry, and mark its target as draining.
 
-        The target gets no new flows, and its open flows stay. It is removed at once if the entry is
-        then deleted.
+        The target gets no new flows, and its open flows stay.
         """
         self.metrics.count("entries_rejected", "target")
         self.journal.event("entry_rejected", key=key, reason=reason, revision=revision)
         target = self.catalog.targets.get(self.target_id_by_key.get(key, ""))
         if target is not None:
             target.draining = True
+            self.rejected_keys.add(key)
 
     def handle_deleted_entry(self, key: str, revision: int) -> None:
-        """Remove a draining target at once, and any other one after `ENTRY_HOLD_S`.
+        """Remove a target that announced that it drains, and hold any other one for `ENTRY_HOLD_S`.
 
-        A draining target whose entry the store has lost may still have flows, and is held too.
+        A draining target whose entry the store has lost may still have flows, and is held too. So
+        is one whose entry was invalid: another program wrote that, and perhaps removed it.
         """
+        was_rejected = key in self.rejected_keys
+        self.rejected_keys.discard(key)
         target_id = self.target_id_by_key.pop(key, "")
         target = self.catalog.targets.get(target_id)
         if target is None:
             return
-        if target.draining and revision > self.restored_revision:
+        if target.draining and not was_rejected and revision > self.restored_revision:
             self.remove_from_catalog(target_id, "left")
         else:
             self.held_until[target_id] = self.now() + ENTRY_HOLD_S
--- a/packages/godwitway/tests/steering/test_announcements.py
+++ b/packages/godwitway/tests/steering/test_announcements.py
@@ -158,6 +158,41 @@
         harness.change_entry(b"ready")
         assert not target.draining
 
+    @pytest.mark.parametrize("announced", [b"ready", b"draining"])
+    def test_flows_of_a_live_target_are_not_reset_after_an_invalid_entry_was_removed(
+        self, announced
+    ):
+        """The target was removed at once, and its open flows reset until its next update."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(announced)
+        harness.change_entry(b"odd")
+        harness.change_entry(None)
+        harness.wait(ENTRY_HOLD_S - 0.1)
+        assert harness.catalog.targets["i-0001"].draining
+        harness.wait(0.1)
+        assert "i-0001" in harness.catalog.targets
+        harness.change_entry(b"ready")
+        assert not harness.catalog.targets["i-0001"].draining
+        assert harness.catalog.by_service["desk"] == [harness.catalog.targets["i-0001"]]
+
+    def test_a_dead_target_is_removed_after_an_invalid_entry_was_removed(self):
+        """Nothing else tells that it has ended."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready")
+        harness.change_entry(b"odd")
+        harness.change_entry(None)
+        harness.wait(ENTRY_HOLD_S, dead=True)
+        assert not harness.catalog.targets
+
+    def test_a_target_that_drains_after_an_invalid_entry_is_removed_at_once(self):
+        """Only the last value before the deletion counts."""
+        harness = AnnouncementsHarness()
+        harness.change_entry(b"ready")
+        harness.change_entry(b"odd")
+        harness.change_entry(b"draining")
+        harness.change_entry(None)
+        assert not harness.catalog.targets
+
     def test_an_invalid_older_or_deleted_configuration_is_ignored(self):
         """The version in force must stay."""
         harness = AnnouncementsHarness()
