Send malformed datagrams that get as far as the decoders

Cause: the test of malformed input had the first bytes of datagrams of an earlier format, gwC2 and gwL2, so that hosts dropped all of its pushes and reports by these bytes alone.

Change: the first bytes come from the product, half of the reports have lengths that fit, and a test checks that the decoders see them.

--- a/packages/godwitway-standins/tests/test_malformed.py
+++ b/packages/godwitway-standins/tests/test_malformed.py
@@ -10,6 +10,10 @@
 import zlib
 from pathlib import Path
 
+import pytest
+from godwitway.steering._changes import PUSH_MAGIC, decode_push
+from godwitway.steering._loads import ENTRY, HEADER_BYTES, SECTION, decode_report
+from godwitway.steering._loads import MAGIC as REPORT_MAGIC
 from world_play import READY_S, events_of, play, state_of, wait_until
 
 from godwitway_standins.flows import FlowWorld
@@ -21,6 +25,7 @@
     HostProcess,
 )
 
+REPORT_START = struct.pack("<I", REPORT_MAGIC)
 SEED = 19
 DATAGRAMS = 600
 MAX_LINES = 4_000  # At most 50 lines of each event in a second.
@@ -29,18 +34,38 @@
 MAX_VALUE_BYTES = 1_048_576  # The platform's limit.
 
 
+def build_random_report(rng: random.Random) -> bytes:
+    """Return a report whose lengths are right and whose other fields are random."""
+    count, size = rng.randrange(4), rng.randrange(40)
+    head = REPORT_START + rng.randbytes(HEADER_BYTES - len(REPORT_START) - 1) + bytes([count])
+    loads = rng.randbytes(ENTRY.size * count)
+    return head + loads + SECTION.pack(rng.randrange(4), size) + rng.randbytes(size)
+
+
 def build_datagrams(rng: random.Random) -> list[bytes]:
     """Return datagrams of both of a host's ports: random ones, and damaged ones of each kind."""
+    empty = {
+        "base": [0, 0],
+        "position": [0, 1],
+        "full": False,
+        "items": [],
+        "deleted": [],
+        "kept": [],
+    }
     documents = [
-        {"base": 0, "revision": HUGE, "full": True, "items": [], "deleted": [], "kept": []},
-        {"base": 0, "revision": 1, "full": 1, "items": [[1, 2, 3]], "deleted": [], "kept": []},
-        {"base": 0, "revision": 1, "full": False, "items": [], "deleted": 7, "kept": None},
+        empty | {"position": [0, HUGE]},
+        empty | {"base": 0},
+        empty | {"items": [[1, 2, 3]]},
+        empty | {"items": [["servers/i-1", "\ud83d", 3]]},
+        empty | {"deleted": 7, "kept": None},
         [],
         "x",
     ]
-    pushes = [b"gwC2" + zlib.compress(json.dumps(document).encode()) for document in documents]
-    pushes += [b"gwC2", b"gwC2" + zlib.compress(b"[" * 100_000), b"gwC2" + b"\xff" * 40]
-    reports = [struct.pack("<I", 0x67774C32) + rng.randbytes(rng.randrange(60)) for _ in range(50)]
+    pushes = [zlib.compress(json.dumps(document).encode()) for document in documents]
+    pushes += [b"", zlib.compress(b"[" * 100_000), b"\xff" * 40]
+    pushes = [PUSH_MAGIC + push for push in pushes]
+    reports = [REPORT_START + rng.randbytes(rng.randrange(HEADER_BYTES + 60)) for _ in range(25)]
+    reports += [build_random_report(rng) for _ in range(25)]
     noise = [rng.randbytes(rng.randrange(1, 300)) for _ in range(50)]
     return pushes + reports + noise
 
@@ -140,6 +165,20 @@
     return int(line.split()[1]) * 1_024
 
 
+class TestDatagrams:
+    """The malformed datagrams themselves."""
+
+    def test_they_get_as_far_as_the_decoders(self):
+        """After a change of the format they were once dropped by their first bytes alone."""
+        datagrams = build_datagrams(random.Random(SEED))
+        assert sum(decode_report(datagram) is not None for datagram in datagrams) == 25
+        pushes = [datagram for datagram in datagrams if datagram.startswith(PUSH_MAGIC)]
+        for push in pushes:
+            with pytest.raises(ValueError):
+                decode_push(push)
+        assert len(pushes) == 10
+
+
 class TestMalformedInput:
     """Every host lives, logs a bounded number of lines, and serves."""
 
