Follow the store of the own interface beside what cannot be decoded

A state in the platform's host list or a key that is not UTF-8, or a document nested too deeply for the parser, ended the task that follows the store. The host learned of no later change.

Cause: these were decoded without regard to errors, and the task expects StoreError only.

Change: a key that is not UTF-8 is read with escapes and a state with replacement characters, so that neither has a meaning, and a nested document is rejected like other invalid ones.

--- a/packages/godwitway-standins/tests/test_config.py
+++ b/packages/godwitway-standins/tests/test_config.py
@@ -245,6 +245,22 @@
 
         in_world(job)
 
+    def test_what_cannot_be_decoded_does_not_keep_other_changes_out(self):
+        """The task that follows the store ended, and the host knew of no change any more."""
+
+        async def job(world):
+            world.store.put_now(HOSTS_PREFIX + "10.9.9.8", b"\xff\xfe")
+            world.store.put_now(HOSTS_PREFIX + "10.9.9.9", b"drain")
+            world.store.put_now(SERVICES_PREFIX + "catalogue", b"[" * 100_000)
+            revision = world.write(changed_document(world))
+            await world.clock.sleep(IN_FORCE_S)
+            assert revisions(world) == {revision}
+            states = [entry.host.node.platform_host_states for entry in hosts(world)]
+            assert {known["10.9.9.9"][0] for known in states} == {"drain"}
+            assert events(world, "config_rejected")
+
+        in_world(job)
+
 
 class TestRecovery:
     """Tests of hosts that start while the store is down."""
--- a/packages/godwitway/src/godwitway/process/_config.py
+++ b/packages/godwitway/src/godwitway/process/_config.py
@@ -397,7 +397,11 @@
             full: Whether `items` is the whole list; has no effect.
         """
         entries = [
-            (item.key.removeprefix(HOSTS_PREFIX), item.value.decode(), item.mod_revision)
+            (
+                item.key.removeprefix(HOSTS_PREFIX),
+                item.value.decode(errors="replace"),  # An unknown state.
+                item.mod_revision,
+            )
             for item in items
         ]
         newer = self.merge_platform_hosts(entries)
--- a/packages/godwitway/src/godwitway/process/_etcd.py
+++ b/packages/godwitway/src/godwitway/process/_etcd.py
@@ -48,9 +48,13 @@
 
 
 def parse_key_value(raw: dict[str, Any]) -> KeyValue:
-    """Parse a key-value pair in the JSON of the gateway."""
+    """Parse a key-value pair in the JSON of the gateway.
+
+    Bytes of a key that are not UTF-8 are replaced by escapes, so that such a key has no meaning and
+    the others can be used.
+    """
     return KeyValue(
-        decode_base64(raw["key"]).decode(),
+        decode_base64(raw["key"]).decode(errors="backslashreplace"),
         decode_base64(raw.get("value", "")),
         int(raw["mod_revision"]),
     )
--- a/packages/godwitway/src/godwitway/process/_writes.py
+++ b/packages/godwitway/src/godwitway/process/_writes.py
@@ -227,8 +227,9 @@
         return version_conflict(expected, current)
     for claim_key, field in claim_keys(service).items():
         holder = stored.get(claim_key)
-        if holder is not None and holder.value.decode() != service.name:
-            message = f"{claim_key.rpartition('/')[2]} belongs to service {holder.value.decode()!r}"
+        if holder is not None and holder.value != service.name.encode():
+            name = holder.value.decode(errors="replace")
+            message = f"{claim_key.rpartition('/')[2]} belongs to service {name!r}"
             return Problem(ErrorKind.INVALID_FIELD, message, field)
     return None
 
--- a/packages/godwitway/src/godwitway/version/_snapshot.py
+++ b/packages/godwitway/src/godwitway/version/_snapshot.py
@@ -97,7 +97,7 @@
             continue
         try:
             checked = check_service(msgspec.json.decode(document))
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             rejected.append(name)
             continue
         if checked.is_err():
