Leave large values out of what is transferred from the store

Cause: hosts have no use for a value of more than 4 KiB that is not the configuration, but waited for each to arrive, 2.2 s for 1 MiB over such a link, in the watch as well as in the listing that replaces it.

The new case of test_malformed.py and the new tests of test_metadata_store.py fail before the change and pass with it.

--- a/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import itertools
 import json
 from collections import Counter, deque
@@ -15,6 +16,7 @@
 HISTORY = 2_000
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000  # Of the values; a page ends with the item that exceeds it.
+PARTS_PER_S = 20  # Of a response over a slow link.
 ERA_HEADER = "Store-Era"
 FOREVER_S = 3_600.0
 CLOSE_S = 0.1
@@ -52,12 +54,14 @@
         refused: Callers for which alone it is down, by IP address.
         delay_s: How much later answers come.
         lose_writes: Whether writes are done and not answered.
+        bytes_per_s: How fast answers arrive, 0 for at once.
     """
 
     down: str = ""
     refused: set[str] = field(default_factory=set)
     delay_s: float = 0.0
     lose_writes: bool = False
+    bytes_per_s: int = 0
 
 
 @dataclass(slots=True)
@@ -119,7 +123,7 @@
     def handle(self, call):
         """Return the handler of a call, with the present faults."""
 
-        async def handler(request: web.Request) -> web.Response:
+        async def handler(request: web.Request) -> web.StreamResponse:
             self.calls[request.path.split("/")[1]] += 1
             await self.fail(request)
             self.end_leases()
@@ -129,10 +133,25 @@
             await asyncio.sleep(self.faults.delay_s)
             if self.faults.lose_writes and request.method == "POST":
                 await asyncio.sleep(FOREVER_S)
-            return web.json_response(body, status=status, headers=headers)
+            response = web.json_response(body, status=status, headers=headers)
+            return (
+                await self.send_slowly(request, response) if self.faults.bytes_per_s else response
+            )
 
         return handler
 
+    async def send_slowly(self, request: web.Request, whole: web.Response) -> web.StreamResponse:
+        """Send a response in parts, as over a link of `StoreFaults.bytes_per_s`."""
+        response = web.StreamResponse(status=whole.status, headers=whole.headers)
+        part_bytes = self.faults.bytes_per_s // PARTS_PER_S
+        await response.prepare(request)
+        with contextlib.suppress(ConnectionError):  # The caller has given the response up.
+            for start in range(0, len(whole.body), part_bytes):
+                await response.write(whole.body[start : start + part_bytes])
+                await asyncio.sleep(1 / PARTS_PER_S)
+            await response.write_eof()
+        return response
+
     async def fail(self, request: web.Request) -> None:
         """Fail as the present faults say."""
         faults = self.faults
--- a/packages/godwitway-standins/tests/store_fleet.py
+++ b/packages/godwitway-standins/tests/store_fleet.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from functools import partial
 from types import SimpleNamespace
 from typing import Any
@@ -81,7 +82,13 @@
         self.ip = ip
 
     async def request(
-        self, method: str, target: str, body: bytes, timeout_s: float, silence_s: float = 0.0
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        silence_s: float = 0.0,
+        on_body: Callable[[bytes], None] | None = None,
     ) -> HttpResponse:
         """Return the store's response; see `HttpConnection.request`."""
         try:
--- a/packages/godwitway-standins/tests/test_malformed.py
+++ b/packages/godwitway-standins/tests/test_malformed.py
@@ -31,6 +31,8 @@
 MAX_LINES = 4_000  # At most 50 lines of each event in a second.
 HUGE = 10**400
 SMALLEST_HOST_BYTES = 100 * 1_000_000  # The least memory of a host of the platform.
+SLOW_BYTES_PER_S = 625_000  # 5 Mbit/s, the slowest link of the platform.
+CHANGE_BOUND_S = 5.0  # The platform's, for a configuration, where links are that slow.
 MAX_VALUE_BYTES = 1_048_576  # The platform's limit.
 
 
@@ -232,11 +234,18 @@
 
         play(tmp_path, 67, scenario)
 
-    def test_hosts_follow_the_store_after_changes_too_large_for_one_response(self, tmp_path):
-        """They once asked for the same changes again until the store had dropped its history."""
+    @pytest.mark.parametrize("bytes_per_s", [0, SLOW_BYTES_PER_S])
+    def test_hosts_follow_the_store_after_changes_too_large_for_one_response(
+        self, tmp_path, bytes_per_s
+    ):
+        """They once asked for the same changes again until the store had dropped its history.
+
+        Over a slow link, the listing that replaces the watch must not wait for the large values.
+        """
 
         async def scenario(world):
-            for number in range(3):
+            world.store.faults.bytes_per_s = bytes_per_s
+            for number in range(4):
                 world.store.put(f"servers/i-aa{number}", os.urandom(MAX_VALUE_BYTES))
             await asyncio.sleep(1.0)
             leaving = world.serving("desk")[0]
@@ -245,7 +254,8 @@
             world.configure()
             for host in world.hosts:
                 assert await wait_until(
-                    lambda host=host: events_of(host, "config_in_force")[-1]["version"] == 2, 5.0
+                    lambda host=host: events_of(host, "config_in_force")[-1]["version"] == 2,
+                    CHANGE_BOUND_S,
                 )
                 states = {target["id"]: target for target in (await state_of(host))["targets"]}
                 assert states[leaving.name]["draining"]
--- a/packages/godwitway-standins/tests/test_metadata_store.py
+++ b/packages/godwitway-standins/tests/test_metadata_store.py
@@ -14,6 +14,7 @@
 from godwitway_standins.flows import MetadataServer
 
 IP = "127.39.0.1"
+SLOW_BYTES_PER_S = 625_000  # 5 Mbit/s, the slowest link of the platform.
 MAX_VALUE_BYTES = 1_048_576  # The platform's limit.
 
 
@@ -199,6 +200,49 @@
 
         asyncio.run(run())
 
+    def test_a_listing_does_not_wait_for_values_that_are_too_large_to_keep(self):
+        """Over a slow link they once kept a host from all changes for seconds."""
+
+        async def scenario(server, client):
+            config = os.urandom(20_000)
+            server.put("op/config", config)
+            for number in range(4):
+                server.put(f"servers/i-{number}", b"x")
+                server.put(f"servers/i-{number}-large", os.urandom(MAX_VALUE_BYTES))
+            server.faults.bytes_per_s = SLOW_BYTES_PER_S
+            async with asyncio.timeout(MAX_VALUE_BYTES / SLOW_BYTES_PER_S):
+                listing = await client.range("")
+            assert {item.key: item.value for item in listing.items} == {
+                "op/config": config,
+                **{f"servers/i-{number}": b"x" for number in range(4)},
+                **{f"servers/i-{number}-large": b"" for number in range(4)},
+            }
+            assert listing.revision == server.revision
+
+        play(scenario)
+
+    def test_a_change_during_an_interrupted_listing_is_not_missed(self):
+        """The listing is complete up to its revision, whatever was read before that was known."""
+
+        async def scenario(server, client):
+            server.put("servers/i-1", b"x")
+            server.put("servers/i-2", os.urandom(MAX_VALUE_BYTES))
+            fetch_page = client.fetch_page
+
+            async def change_and_fetch(path, on_body=None):
+                server.put("servers/i-1", b"y%d" % server.revision)
+                return await fetch_page(path, on_body)
+
+            client.fetch_page = change_and_fetch
+            listing = await client.range("")
+            client.fetch_page = fetch_page
+            changes = await client.changes("", listing.revision, 0.1)
+            values = {item.key: item.value for item in listing.items}
+            values |= {event.key: event.value for event in changes.events}
+            assert values["servers/i-1"] == server.items["servers/i-1"].value
+
+        play(scenario)
+
     def test_a_starting_host_does_not_wait_for_page_after_page(self):
         """It handles no packets while it lists the keys for the first time."""
 
--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -74,7 +74,13 @@
         self.writer: asyncio.StreamWriter | None = None
 
     async def request(
-        self, method: str, target: str, body: bytes, timeout_s: float, silence_s: float = 0.0
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        silence_s: float = 0.0,
+        on_body: Callable[[bytes], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return its response; the connection is closed on any failure.
 
@@ -86,6 +92,8 @@
             silence_s: If not 0, `timeout_s` ends with the first bytes of the response, and the rest
                 may take `MAX_TRANSFER_S` as long as bytes keep arriving; this is the longest time
                 in seconds between them.
+            on_body: Called with each part of the response's body as it arrives; an error that it
+                raises ends the request.
 
         Raises:
             HttpError: The connection failed, or the response did not arrive in time.
@@ -97,7 +105,7 @@
             async with asyncio.timeout(timeout_s) as limit:
                 self.writer.write(encode_request(self.address, method, target, body))
                 first = await self.reader.read(READ_CHUNK_BYTES)
-                return await self.receive_response(first, limit, silence_s)
+                return await self.receive_response(first, limit, silence_s, on_body)
         except httptools.HttpParserError as error:
             self.close()
             reason = describe_parser_error(error)
@@ -121,7 +129,11 @@
         enable_keepalive(self.writer)
 
     async def receive_response(
-        self, data: bytes, limit: asyncio.Timeout, silence_s: float
+        self,
+        data: bytes,
+        limit: asyncio.Timeout,
+        silence_s: float,
+        on_body: Callable[[bytes], None] | None,
     ) -> HttpResponse:
         """Read the rest of a response.
 
@@ -129,6 +141,7 @@
             data: The first bytes of the response, empty at the end of the connection.
             limit: The time limit of the request, which is moved if there is a `silence_s`.
             silence_s: See `request`.
+            on_body: See `request`.
         """
         message = MessageCollector()
         parser = httptools.HttpResponseParser(message)
@@ -139,7 +152,11 @@
                 raise ConnectionResetError("the server closed the connection")
             if silence_s:
                 limit.reschedule(min(now() + silence_s, ends_at))
+            part_count = len(message.body_parts)
             parser.feed_data(data)
+            if on_body is not None:
+                for part in message.body_parts[part_count:]:
+                    on_body(part)
             if message.complete:
                 break
             data = await self.reader.read(READ_CHUNK_BYTES)
