Do not fetch a configuration again that cannot be decoded

Callers saw: nothing so far; found by looking for calls that are repeated unchanged. A host that cannot decode the configuration which another host has in force, for example one with an earlier program, requested it again every second, up to 1 MB each time.

Cause: the reports name a newer version for as long as it is in force.

Change: a version that cannot be decoded is fetched once. A request that fails is repeated as before. Besides, a response may take 15 s in all, not 30: enough for the largest body over a link of 2.5 Mbit/s.

--- a/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
+++ b/packages/godwitway-standins/src/godwitway_standins/flows/_metadata.py
@@ -134,9 +134,9 @@
             if self.faults.lose_writes and request.method == "POST":
                 await asyncio.sleep(FOREVER_S)
             response = web.json_response(body, status=status, headers=headers)
-            return (
-                await self.send_slowly(request, response) if self.faults.bytes_per_s else response
-            )
+            if self.faults.bytes_per_s:
+                return await self.send_slowly(request, response)
+            return response
 
         return handler
 
--- a/packages/godwitway/src/godwitway/http.py
+++ b/packages/godwitway/src/godwitway/http.py
@@ -23,7 +23,7 @@
 __all__ = ["HttpConnection", "HttpError", "HttpRequest", "HttpResponse", "serve_http"]
 
 READ_CHUNK_BYTES = 65_536
-MAX_TRANSFER_S = 30.0  # The largest body takes 14 s over a link of 2.5 Mbit/s.
+MAX_TRANSFER_S = 15.0  # The largest body takes 14 s over a link of 2.5 Mbit/s.
 KEEPALIVE_IDLE_S = 1  # Detects a dead connection within the 3 s in which a change must take effect.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
--- a/packages/godwitway/src/godwitway/steering/_core.py
+++ b/packages/godwitway/src/godwitway/steering/_core.py
@@ -285,10 +285,14 @@
         """Return the configuration's version, 0 without one, and the advertised position."""
         return self.config_version(), self.replica.advertised_position
 
-    def apply_config_of_host(self, value: bytes) -> None:
-        """Apply the configuration that another host has in force, unless this one's is newer."""
+    def apply_config_of_host(self, value: bytes) -> bool:
+        """Apply the configuration that another host has in force, unless this one's is newer.
+
+        Returns:
+            False if the value is invalid.
+        """
         revision = self.replica.position.revision
-        self.announcements.apply_config_entry(self.formats.config_key, value, revision)
+        return self.announcements.apply_config_entry(self.formats.config_key, value, revision)
 
     def watches_store(self) -> bool:
         """Whether this host currently watches the store on behalf of others."""
--- a/packages/godwitway/src/godwitway/steering/_node.py
+++ b/packages/godwitway/src/godwitway/steering/_node.py
@@ -122,6 +122,8 @@
         is_catching_up: Whether changes are being fetched from another host.
         is_fetching_config: Whether the configuration was requested from another host less than
             `CONFIG_FETCH_INTERVAL_S` ago.
+        unusable_config_version: The latest version of a configuration that another host has in
+            force and this one cannot decode; it is not fetched again.
         store: The store client that registers the host and lists the store at the start.
         feed: Follows the store over a connection of its own.
         registration: Keeps this host's key in the store, over the connection of `store`.
@@ -142,6 +144,7 @@
         self.stopped = asyncio.Event()
         self.is_catching_up = False
         self.is_fetching_config = False
+        self.unusable_config_version = 0
         self.encoded_differences: dict[StorePosition, bytes] = {}
         self.encoded_position = FIRST_POSITION
         self.replica = core.replica
@@ -350,18 +353,21 @@
             if not self.is_catching_up:
                 self.is_catching_up = True
                 self.spawn(self.catch_up())
-        elif peer.config_version > self.core.config_version():
+        elif peer.config_version > max(self.core.config_version(), self.unusable_config_version):
             if not self.is_fetching_config:
                 self.is_fetching_config = True
                 self.spawn(self.fetch_newer_config(peer))
         elif peer.reaches_store:
             self.core.confirm_view("report")
 
-    async def fetch_config(self, address: Address) -> None:
+    async def fetch_config(self, address: Address) -> bool:
         """Fetch the configuration that another host has in force, and apply it.
 
         Args:
             address: The other host's control address.
+
+        Returns:
+            False if the configuration cannot be decoded; True also if the request failed.
         """
         connection = HttpConnection(address, FETCH_TIMEOUT_S)
         try:
@@ -371,16 +377,19 @@
             if response.status == STATUS_OK:
                 self.metrics.count("configs_taken")
                 self.journal.event("config_taken", peer=format_address(address))
-                self.core.apply_config_of_host(response.body)
+                return self.core.apply_config_of_host(response.body)
         except HttpError as error:
             self.journal.event("changes_failed", peer=format_address(address), reason=str(error))
         finally:
             connection.close()
+        return True
 
     async def fetch_newer_config(self, peer: PeerState) -> None:
         """Fetch a peer's configuration, at most once every `CONFIG_FETCH_INTERVAL_S`."""
+        version = peer.config_version
         try:
-            await self.fetch_config((peer.address[0], self.core.settings.control[1]))
+            if not await self.fetch_config((peer.address[0], self.core.settings.control[1])):
+                self.unusable_config_version = max(version, self.unusable_config_version)
             await asyncio.sleep(CONFIG_FETCH_INTERVAL_S)
         finally:
             self.is_fetching_config = False
--- a/packages/godwitway/tests/steering/test_node.py
+++ b/packages/godwitway/tests/steering/test_node.py
@@ -6,8 +6,8 @@
 
 from steering_builders import at, build_config, build_core, build_report
 
-from godwitway.http import HttpRequest
-from godwitway.steering import _node
+from godwitway.http import HttpRequest, HttpResponse
+from godwitway.steering import EntryError, _node
 from godwitway.steering._changes import decode_difference
 from godwitway.steering._loads import encode_report, hash_zone
 from godwitway.steering._node import MAX_CACHED_DIFFERENCES, MAX_FETCHES, SteeringNode
@@ -229,6 +229,31 @@
         receive_reports(node, "a", range(1, 3), revision=8)
         assert fetched == ["fetch_newer_config"]
 
+    def test_a_configuration_that_cannot_be_decoded_is_not_fetched_again(self, monkeypatch):
+        """A host of an earlier program once requested it every second from another one."""
+        monkeypatch.setattr(_node, "CONFIG_FETCH_INTERVAL_S", 0.0)
+        node = build_node()
+        fetched = []
+
+        def decode_config(value):
+            raise EntryError("version: is missing")
+
+        async def request(connection, method, target, body, timeout_s, silence_s):
+            fetched.append(target)
+            return HttpResponse(200, b"x", {})
+
+        monkeypatch.setattr(_node.HttpConnection, "request", request)
+        node.core.announcements.decode_config = decode_config
+        node.core.peers.on_report = node.compare_revisions
+
+        async def hear_often():
+            for _ in range(5):
+                receive_reports(node, "a", range(1, 3), revision=8)
+                await asyncio.sleep(0.01)
+
+        asyncio.run(hear_often())
+        assert fetched == ["/config"]
+
     def test_the_configuration_in_force_is_served_to_other_hosts(self):
         """As the store had it, not as the restored store has it."""
         node = build_node()
