--- a/packages/godwitway-standins/src/godwitway_standins/soak/_plan.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_plan.py
@@ -30,6 +30,7 @@
 UNEVEN_KINDS = {
     # Longer than the bound of an evacuation, so that hosts in breach of it are seen.
     "evacuate_zone": (14.0, 8.0, 12.0),
+    "foreign_entries": (12.0, 0.3, 2.0),
     # Longer than the bound of a configuration after a restart of the hosts, by enough requests.
     "odd_routes": (18.0, 8.0, 12.0),
     "restart_target": (10.0, 0.2, 0.5),
--- a/packages/godwitway-standins/src/godwitway_standins/soak/_uneven_faults.py
+++ b/packages/godwitway-standins/src/godwitway_standins/soak/_uneven_faults.py
@@ -1,6 +1,7 @@
-"""Faults that make the load or the targets uneven, and routes that hosts may not understand."""
+"""Faults that make load or targets uneven, and routes and entries that hosts cannot understand."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 
 from godwitway_standins.flows import Caller, FlowTarget, FlowWorld
@@ -13,6 +14,11 @@
 RUSH_PAUSE_S = 0.05
 SLOWDOWN = 5.0
 MIN_HERD_SELECTOR = 0.5  # From this selector on, `odd_routes` restarts all hosts.
+LARGE_ENTRIES = 4  # More than fit into one response that hosts accept.
+LARGE_VALUE = bytes(1_048_576)  # The platform's limit.
+UNREADABLE_VALUE = b"\xff\xfe"
+UNREADABLE_ZONE = b"\xed\xa0\xbd"  # Half of a surrogate pair.
+MAX_UPDATE_DELAY_S = 1.2  # A target writes an entry that it finds changed with its next heartbeat.
 
 
 class UnevenFaults:
@@ -90,6 +96,29 @@
         world.broken_fields = None
         world.configure()
 
+    async def foreign_entries(self, fault: Fault) -> None:
+        """Let another program write large and unreadable entries, and one over that of a target.
+
+        At the end it removes them, and the target writes its own entry again.
+        """
+        store, start = self.world.store, f"servers/i-f{int(fault.selector * 1e6):06x}"
+        entry = json.loads(self.world.targets[0].entry()) | {"zone": "unreadable"}
+        foreign = {f"{start}{number}": LARGE_VALUE for number in range(LARGE_ENTRIES)}
+        foreign[f"{start}f"] = json.dumps(entry).encode().replace(b"unreadable", UNREADABLE_ZONE)
+        target = self.pick_target(fault)
+        if target is not None:
+            foreign[f"servers/{target.name}"] = UNREADABLE_VALUE
+        for key, value in foreign.items():
+            store.put(key, value)
+        await asyncio.sleep(fault.duration_s)
+        for key, value in foreign.items():
+            if key in store.items and store.items[key].value == value:
+                store.delete(key)
+        if target is not None:
+            await asyncio.sleep(fault.selector * MAX_UPDATE_DELAY_S)
+            if target.alive:
+                self.world.announce(target)
+
     async def rush(self, zone: str) -> None:
         """Let the callers of a zone open many flows, each for one request."""
         until = self.world.judge.now() + RUSH_S
