Advertise no position of the store that a host has not reached

Cause: an item of a listing of several pages may be newer than the listing. A host advertised the item's revision, 72, with a position of 66, and the two hosts asked each other, the nearest ones that seemed ahead, again and again. Evidence: neither logged changes_taken, changes_failed or a call of the store from 3598.29 to 3601.94, while others in other zones were at revision 92.

Change: the advertised position is at most the position.

--- a/packages/godwitway-standins/tests/store_fleet.py
+++ b/packages/godwitway-standins/tests/store_fleet.py
@@ -127,7 +127,9 @@
         self.fleet = fleet
         self.address = address
 
-    async def request(self, method: str, target: str, body: bytes, timeout_s: float):
+    async def request(
+        self, method: str, target: str, body: bytes, timeout_s: float, silence_s: float = 0.0
+    ):
         """Return the response of the host's handler."""
         await asyncio.sleep(LINK_DELAY_S)
         node = self.fleet.nodes[self.address[0]]
--- a/packages/godwitway/src/godwitway/steering/_replica.py
+++ b/packages/godwitway/src/godwitway/steering/_replica.py
@@ -125,7 +125,7 @@
         self.deletions.clear()
         self.deletions_floor = position.revision
         self.has_listing = True
-        self.position = position
+        self.move_to(position)
         return True
 
     def has_content(self) -> bool:
@@ -160,9 +160,19 @@
                 self.put_item(KeyValue(event.key, event.value, event.mod_revision))
             else:
                 self.remove_key(event.key, event.mod_revision)
-        self.position = max(self.position, position)
+        self.move_to(max(self.position, position))
         return True
 
+    def move_to(self, position: StorePosition) -> None:
+        """Set the position after changes up to it were applied.
+
+        A listing or a difference may have items that are newer than its position. The advertised
+        position must not be: hosts that have the same position would ask each other for changes
+        that neither has, and no host that is ahead of both.
+        """
+        self.position = position
+        self.advertised_position = min(self.advertised_position, position)
+
     def put_item(self, item: KeyValue) -> None:
         """Store an item unless the replica has the same or a newer revision of its key.
 
--- a/packages/godwitway/tests/steering/test_replica.py
+++ b/packages/godwitway/tests/steering/test_replica.py
@@ -273,3 +273,20 @@
             "k/b": b"2",
             "k/c": b"3",
         }
+
+
+class TestItemsNewerThanTheirListing:
+    """Items that changed between two pages of a listing."""
+
+    def test_a_replica_advertises_no_position_that_it_has_not_reached(self):
+        """Two hosts of a zone asked each other for a change that neither had, and nobody else."""
+        listing = [KeyValue("k/a", b"1", 3), KeyValue("k/b", b"1", 12)]
+        replica, _ = build_replica()
+        replica.apply_listing(listing, at(9))
+        assert replica.advertised_position == at(9)
+        follower, _ = build_replica()
+        follower.apply_listing([KeyValue("k/a", b"1", 3)], at(8))
+        assert follower.apply_difference(replica.difference_since(at(8)))
+        assert follower.advertised_position == follower.position == at(9)
+        follower.apply_events([WatchEvent("k/b", b"1", 12)], at(12))
+        assert follower.items["k/b"].mod_revision == 12
