--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -282,9 +282,10 @@
         flow = self.flows.get(key)
         if packet.flags & SYN:
             if flow is None:
+                first = random.randrange(1, 1 << 31)
                 flow = self.flows[key] = {
-                    "seq": random.randrange(1, 1 << 31), "expected": packet.sequence + 1,
-                    "open": False, "request": None, "answer": b"", "done": False}
+                    "seq": first, "next": first + 1, "expected": packet.sequence + 1,
+                    "open": False, "request": None, "answer": b""}
                 self.world.on_take(self, key, sender)
             if not flow["open"]:
                 self.reply(packet, SYN | ACK, flow["seq"], flow["expected"], echo=packet.echo)
@@ -301,6 +302,8 @@
                 return
             flow["open"] = True
         flow["packet"] = packet
+        if flow["answer"] and packet.acknowledged == flow["next"]:
+            flow["answer"] = b""
         if packet.data and packet.sequence == flow["expected"] and flow["request"] is None:
             flow["expected"] += len(packet.data)
             flow["request"] = re.search(rb"Request-Id: (\S+)", packet.data)[1].decode()
@@ -308,12 +311,9 @@
         elif packet.data and flow["answer"]:
             self.send_answer(flow)
         elif packet.data:
-            self.reply(packet, ACK, flow["seq"] + 1, flow["expected"], echo=packet.echo)
-        if flow["answer"] and packet.acknowledged == flow["seq"] + 1 + len(flow["answer"]):
-            flow["done"] = True
-        if packet.flags & FIN and flow["done"]:
-            end = flow["seq"] + 1 + len(flow["answer"])
-            self.reply(packet, FIN | ACK, end, flow["expected"] + 1, echo=packet.echo)
+            self.reply(packet, ACK, flow["next"], flow["expected"], echo=packet.echo)
+        if packet.flags & FIN and not flow["answer"]:
+            self.reply(packet, FIN | ACK, flow["next"], flow["expected"] + 1, echo=packet.echo)
             asyncio.get_running_loop().call_later(2.0, self.flows.pop, key, None)
 
     async def work(self, key, flow):
@@ -332,20 +332,23 @@
     def finish(self, flow, status, headers, body):
         flow["answer"] = (f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
                           ).encode() + body
+        flow["request"] = None
+        flow["answer_at"] = flow["next"]
+        flow["next"] += len(flow["answer"])
         flow["tries"], flow["pause"] = 0, FIRST_RETRANSMISSION_S
         flow["again_at"] = time.monotonic() + flow["pause"]
         self.send_answer(flow)
 
     def send_answer(self, flow):
         packet = flow["packet"]
-        self.reply(packet, ACK, flow["seq"] + 1, flow["expected"], flow["answer"], packet.echo)
+        self.reply(packet, ACK, flow["answer_at"], flow["expected"], flow["answer"], packet.echo)
 
     async def tick(self):
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
             for key, flow in list(self.flows.items()):
-                if flow["answer"] and not flow["done"] and now >= flow["again_at"]:
+                if flow["answer"] and now >= flow["again_at"]:
                     flow["tries"] += 1
                     flow["pause"] = min(2 * flow["pause"], LONGEST_RETRANSMISSION_S)
                     flow["again_at"] = now + flow["pause"]
@@ -439,16 +442,74 @@
             asyncio.get_running_loop().call_later(
                 1.0, self.attempts.pop, (source[1], address), None)
 
+    async def keep_flow(self, address, pause_s, seconds, on_end):
+        """Open a flow and send one request after another on it, with pauses between them.
+
+        `on_end(flow, reason, packet)` is called once, with "reset" if a reset ended the flow.
+        """
+        self.port = 1024 + (self.port - 1023) % 60000
+        source = (self.ip, self.port)
+        queue = self.attempts[(self.port, address)] = asyncio.Queue()
+        flow, key = f"{source}{address}".encode(), (source, address)
+        until = time.monotonic() + seconds
+        sequence = random.randrange(1, 1 << 31)
+        self.world.sent_at[key] = time.monotonic()
+
+        def send(flags, sequence, acknowledged, data=b"", echo=0):
+            raw = encode(source, address, flags, sequence, acknowledged, data, echo)
+            self.world.router.send(self.zone, flow, raw)
+
+        answer = None
+        for copy, wait_s in enumerate((0.2, 0.4, 0.8)):
+            send(SYN, sequence, copy)
+            answer = await self.wait(queue, time.monotonic() + wait_s)
+            if answer is not None:
+                break
+        if answer is None or answer.flags & RST:
+            return on_end(key, "not opened", answer)
+        sequence, expected, echo = sequence + 1, answer.sequence + 1, answer.echo
+        send(ACK, sequence, expected, b"", echo)
+        while time.monotonic() < until:
+            packet = await self.wait(queue, time.monotonic() + pause_s * random.uniform(0.5, 1.5))
+            if packet is not None and packet.flags & RST:
+                return on_end(key, "reset", packet)
+            self.count += 1
+            request = f"{self.name}-{self.count}"
+            self.world.record.line("send", request=request, client=f"{self.ip}:{self.port}")
+            head = f"POST /x HTTP/1.1\r\nX-Godwitway-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n"
+            data, tries, pause = head.encode(), 0, FIRST_RETRANSMISSION_S
+            while True:
+                send(ACK, sequence, expected, data, echo)
+                packet = await self.wait_for_data(queue, time.monotonic() + pause, expected)
+                if packet is not None:
+                    break
+                tries, pause = tries + 1, min(2 * pause, LONGEST_RETRANSMISSION_S)
+                if tries > 3:
+                    self.world.record.line("answer", request=request, result="deadline")
+                    return on_end(key, "deadline", None)
+            if packet.flags & RST:
+                self.world.record.line("answer", request=request, result="reset")
+                return on_end(key, "reset", packet)
+            self.world.record.line("answer", request=request, result="served")
+            sequence += len(data)
+            expected += len(packet.data)
+            echo = packet.echo
+            send(ACK, sequence, expected, b"", echo)
+        send(ACK | FIN, sequence, expected, b"", echo)
+        return on_end(key, "closed", None)
+
     async def wait(self, queue, until):
         try:
             return await asyncio.wait_for(queue.get(), max(0.0, until - time.monotonic()))
         except TimeoutError:
             return None
 
-    async def wait_for_data(self, queue, until):
+    async def wait_for_data(self, queue, until, expected=None):
         while True:
             packet = await self.wait(queue, until)
-            if packet is None or packet.data or packet.flags & RST:
+            if packet is None or packet.flags & RST:
+                return packet
+            if packet.data and expected in (None, packet.sequence):
                 return packet
 
 
