--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -80,7 +80,7 @@
 
 
 class Store:
-    """The metadata store. `refuses(ip)` names how a caller is refused: "", "busy" or "silent"."""
+    """The metadata store. `refuses()` names how calls are refused: "", "busy" or "silent"."""
 
     def __init__(self, address):
         self.address = address
@@ -89,23 +89,11 @@
         self.history = []
         self.changed = asyncio.Condition()
         self.refuses = lambda: ""
-        self.is_down = False
-        self.held_back = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, *self.address)
 
-    async def release(self):
-        """Take the writes of targets that could not reach the store while it was down."""
-        self.is_down = False
-        held_back, self.held_back = self.held_back, {}
-        for key, value in held_back.items():
-            await self.put(key, value)
-
     async def put(self, key, value):
-        if self.is_down:
-            self.held_back[key] = value
-            return
         self.revision += 1
         created = self.items[key]["created"] if key in self.items else self.revision
         item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
