Review case 13: use a loopback address for the service

The route of the configuration named an address outside 127.0.0.0/8. The packets of the case only carried it as a field, but every address in a case has to be a loopback address.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -18,7 +18,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BACK_S = (0.8, 1.5)
 LOSSES, PAUSE_S = 8, 5.0
-ADDRESS = ("198.18.0.1", 8080)
+ADDRESS = ("127.18.0.1", 8080)
 COLD_OVER, COLD_SLACK, COLD_PER_S = 1.5, 5, 0.0
 LIMIT = COLD_PER_S * COLD_OVER + COLD_SLACK
 COLD_S = 2.0
