Keep the scripts' exit status when their output is closed

Cause: with a closed or full output, the last print of a script raised an error, and the process ended with 1, the status of a broken rule, or with 2. Done: lines are printed by a function that passes over such an error. The scenarios and their checks are unchanged.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(CASE.parent))
 sys.dont_write_bytecode = True
 
-from standins_3 import World, main  # noqa: E402
+from standins_3 import World, main, say  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ADDRESS = ("127.18.0.1", 8080)
@@ -77,7 +77,7 @@
 
     served = sum(" result=served" in line for line in (CASE / "record.txt").read_text().splitlines())
     record.line("end", served=served, limit=LIMIT, worst=dict(worst))
-    print(f"served {served}; new flows of a cold target in one second, at most: {dict(worst)}")
+    say(f"served {served}; new flows of a cold target in one second, at most: {dict(worst)}")
     if served < 500:
         return None
     return max(worst.values(), default=0) <= LIMIT
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -716,7 +716,15 @@
     try:
         held = asyncio.run(run())
     except (Exception, KeyboardInterrupt) as error:  # Whatever it was, the case could not run.
-        print(f"could not run: {error!r}")
+        say(f"could not run: {error!r}")
         sys.exit(2)
-    print({True: "held", False: "BROKEN", None: "could not run"}[held])
+    say({True: "held", False: "BROKEN", None: "could not run"}[held])
     sys.exit({True: 0, False: 1, None: 2}[held])
+
+
+def say(text):
+    """Print a line; an output that is closed or full does not change the exit status."""
+    try:
+        print(text, flush=True)
+    except OSError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
