Give each running script a net of its own

Two scripts had drawn the same net of loopback addresses, and hosts of both bind the metrics port 9464 of the settings' template. Done: a script draws its net until it holds a socket there that no other script holds.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -614,6 +614,19 @@
     raise RuntimeError("no free port")
 
 
+def claim_net():
+    """Return a net of loopback addresses that no other script uses, and a socket that claims it."""
+    for number in random.sample(range(64, 250), 20):
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            claim.bind((f"127.{number}.250.1", 19999))
+        except OSError:
+            claim.close()
+            continue
+        return f"127.{number}", claim
+    raise RuntimeError("no free net")
+
+
 class World:
     """A small deployment: three zones, hosts, targets and clients."""
 
@@ -622,7 +635,7 @@
         self.folder = Path(work_folder)
         self.limits = limits or {}
         self.zones = list(hosts)
-        self.net = f"127.{random.randrange(64, 250)}"
+        self.net, self.claim = claim_net()
         self.hosts = []
         ips = {}
         for index, (zone, count) in enumerate(hosts.items()):
@@ -695,6 +708,7 @@
             task.cancel()
         for host in self.hosts:
             host.kill()
+        self.claim.close()
 
 
 def main(scenario, case_folder, work_folder):
